--- a/larchtack/adapter.py
+++ b/stairhatch/adapter.py
@@ -1,4 +1,4 @@
-"""`python -m larchtack.adapter`: hosts one controller for each instance and speaks the wire on stdin/stdout.
+"""`python -m stairhatch.adapter`: hosts one controller for each instance and speaks the wire on stdin/stdout.
 
 It only translates. What is not told by the wire keeps the interface's default.
 """
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-from larchtack import interface as say
-from larchtack import wire
-from larchtack.choice import Controller
+from stairhatch import interface as say
+from stairhatch import wire
+from stairhatch.choice import Controller
 
 REDIALLED, IN_TRANSIT = 2, 8  # bits of an offered call
 NO_LINE, PROCESSOR_FULL, NUMBER_BUSY = 1, 3, 4  # causes of an outcome
@@ -259,7 +259,7 @@
     try:
         serve(sys.stdin.buffer.read, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"larchtack.adapter: malformed input: {error}", file=sys.stderr)
+        print(f"stairhatch.adapter: malformed input: {error}", file=sys.stderr)
         return 2
     except (BrokenPipeError, KeyboardInterrupt):
         return 1
--- a/larchtack/choice.py
+++ b/stairhatch/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of the controller. Its settings, events and actions are in `larchtack/interface.py`.
+"""Every decision of the controller. Its settings, events and actions are in `stairhatch/interface.py`.
 
 The ordinary path is the hysteretic control of Roughan and Pearce: a flag per server, raised above an onset
 and lowered at an abatement threshold; while it is up, a random share of new set-ups is refused at once.
@@ -12,8 +12,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from larchtack import interface as say
-from larchtack.interface import Action, Ending, Report, Standing
+from stairhatch import interface as say
+from stairhatch.interface import Action, Ending, Report, Standing
 
 # Thresholds are parts of the wait scale: the time after which a waiting set-up is sent again or its aim lost.
 ONSET_PART = 0.35
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from larchtack import interface as say
-from larchtack.choice import Controller
+from stairhatch import interface as say
+from stairhatch.choice import Controller
 
 TWO_CLASSES = (
     say.CallClass("plain", importance=1, aim_s=1.2, deadline_s=9, late_worth=0.25),
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from larchtack import interface as say
-from larchtack.interface import Ending, Standing
+from stairhatch import interface as say
+from stairhatch.interface import Ending, Standing
 
 from .conftest import Node, sends
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from larchtack import interface as say
-from larchtack.choice import AGEING_S, Controller
-from larchtack.interface import Ending, Report
+from stairhatch import interface as say
+from stairhatch.choice import AGEING_S, Controller
+from stairhatch.interface import Ending, Report
 
 from .conftest import SETTINGS, finals, sends
 
@@ -273,9 +273,9 @@
 
 
 def test_size_and_width_of_the_module():
-    lines = (ROOT / "larchtack" / "choice.py").read_text().splitlines()
+    lines = (ROOT / "stairhatch" / "choice.py").read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 650
-    for path in (ROOT / "larchtack").glob("*.py"):
+    for path in (ROOT / "stairhatch").glob("*.py"):
         assert max(map(len, path.read_text().splitlines()), default=0) <= 110
     assert "interface.py" in "\n".join(lines[:3])
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from larchtack import interface as say
-from larchtack import wire
-from larchtack.adapter import Adapter, parse_settings
+from stairhatch import interface as say
+from stairhatch import wire
+from stairhatch.adapter import Adapter, parse_settings
 
 BOOT = {
     "balancers": 4,
@@ -131,7 +131,7 @@
 
 
 def run_adapter(data):
-    command = [sys.executable, "-m", "larchtack.adapter"]
+    command = [sys.executable, "-m", "stairhatch.adapter"]
     return subprocess.run(command, input=data, capture_output=True, check=False)
 
 
