--- a/stairhatch/adapter.py
+++ b/stairhatch/adapter.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 import random
 import sys
@@ -15,6 +14,7 @@
 from stairhatch import interface as say
 from stairhatch import wire
 from stairhatch.choice import Controller
+from stairhatch.settings import SettingsError, parse_settings, report_from
 
 REDIALLED, IN_TRANSIT = 2, 8  # bits of an offered call
 NO_LINE, PROCESSOR_FULL, NUMBER_BUSY = 1, 3, 4  # causes of an outcome
@@ -31,85 +31,6 @@
     70: say.Ending.CANCELLED,
     80: say.Ending.NOT_SENT,
 }
-REPORT_FIELDS = {
-    "free": ("free", 1.0),
-    "size": ("size", 1.0),
-    "mean_ms": ("wait_s", 0.001),
-    "depth": ("queue", 1.0),
-    "concurrent": ("working", 1.0),
-    "load_share": ("busy", 1.0),
-    "can_take": ("rate", 1.0),
-    "hold_back": ("hold_back", 1.0),
-}
-
-
-def parse_settings(boot_info: bytes) -> tuple[say.Settings, tuple[str, ...]]:
-    """Turn the start-up text into settings and the names of the report's values. Unknown keys are ignored."""
-    try:
-        raw = json.loads(boot_info)
-    except (ValueError, UnicodeDecodeError) as error:
-        raise wire.WireError(f"boot_info is no JSON: {error}") from None
-    if not isinstance(raw, dict):
-        raise wire.WireError("boot_info is no JSON object")
-    try:
-        return _settings(raw), tuple(raw.get("load_report", {}).get("names", ()))
-    except (KeyError, TypeError, AttributeError, IndexError) as error:
-        raise wire.WireError(f"boot_info: bad or missing part: {error}") from None
-    except ValueError as error:
-        raise wire.WireError(f"boot_info: {error}") from None
-
-
-def _given(raw: dict[str, Any], **names: str) -> dict[str, Any]:
-    """Those of the named keys that the text holds, under our names."""
-    return {ours: raw[theirs] for ours, theirs in names.items() if theirs in raw}
-
-
-def _settings(raw: dict[str, Any]) -> say.Settings:
-    """Pick our settings out of the decoded text."""
-    family = raw.get("family_info", {})
-    permissions = raw.get("permissions", {})
-    safety = _given(
-        raw.get("safety", {}),
-        answer_slack_s="answer_slack_s",
-        drain_grace_s="drain_grace_s",
-        cold_from="cold_from",
-        warm_after_s="warm_after_s",
-        fall_multiple="fall_multiple",
-        fall_s="fall_s",
-    )
-    return say.Settings(
-        classes=tuple(_call_class(line, i, family) for i, line in enumerate(raw["classes"])),
-        safety=say.Safety(**safety, **_given(family, clear_wait_s="clear_wait_s")),
-        **_given(raw, balancers="balancers", period_s="period_s"),
-        **_given(family, retransmit_s="retransmit_s", own_number="self_no"),
-        **_given(
-            permissions,
-            attempts="send_cap",
-            may_probe="may_probe",
-            may_tell_peers="peers",
-            may_cancel="cancel",
-            may_advise_return="retry_after",
-            longest_return_s="max_retry_after_s",
-        ),
-    )
-
-
-def _call_class(line: dict[str, Any], index: int, family: dict[str, Any]) -> say.CallClass:
-    """One class of the settings, with what `family_info` adds to it by position."""
-    pools = family.get("allowed_pools")
-    lengths = family.get("call_length_s")
-    extra: dict[str, Any] = {}
-    if pools is not None and index < len(pools):
-        extra["pools"] = tuple(pools[index])
-    if lengths is not None and index < len(lengths):
-        extra["length_s"] = lengths[index]
-    return say.CallClass(
-        name=line.get("name", str(index)),
-        repeatable=line.get("effect", "read_like") == "read_like",
-        **_given(line, importance="importance", aim_s="aim_s", deadline_s="hard_limit_s"),
-        **_given(line, late_worth="late_worth"),
-        **extra,
-    )
 
 
 class Instance:
@@ -117,16 +38,12 @@
 
     def __init__(self, who: int, settings: say.Settings, names: tuple[str, ...], seed: int) -> None:
         self.who = who
-        self.fields = [REPORT_FIELDS.get(name) for name in names]
+        self.names = names
         self.controller = Controller(settings, random.Random(seed))
 
     def report(self, values: tuple[float, ...]) -> say.Report:
         """Name the report's values; -1 and what is no number count as missing."""
-        found: dict[str, float] = {}
-        for field, value in zip(self.fields, values, strict=False):
-            if field is not None and math.isfinite(value) and value >= 0:
-                found[field[0]] = value * field[1]
-        return say.Report(**found)
+        return report_from(zip(self.names, values, strict=False))
 
     def action(self, action: say.Action) -> Any:
         """The wire's record for one action."""
@@ -258,7 +175,7 @@
     """Run on standard input and output; 0 at a clean end, 2 with one plain line on malformed input."""
     try:
         serve(sys.stdin.buffer.read, sys.stdout.buffer)
-    except wire.WireError as error:
+    except (wire.WireError, SettingsError) as error:
         print(f"stairhatch.adapter: malformed input: {error}", file=sys.stderr)
         return 2
     except (BrokenPipeError, KeyboardInterrupt):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,8 @@
 
 from stairhatch import interface as say
 from stairhatch import wire
-from stairhatch.adapter import Adapter, parse_settings
+from stairhatch.adapter import Adapter
+from stairhatch.settings import parse_settings
 
 BOOT = {
     "balancers": 4,
