--- /dev/null
+++ b/stairhatch/node/core.py
@@ -0,0 +1,553 @@
+"""The core of the softswitch: owns calls, attempts, their outcomes and every timer. It feeds the Controller,
+turns its actions into effects, and keeps the rules that bind whatever the decisions say: one final answer a
+call, one attempt out at a time, the pause after an unclear end, drains, the cap on attempts, and an answer
+before the caller's time is up. It must never know a wire, a socket or an event loop (the clock is passed in),
+and must never decide where a call goes or whether it is refused.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import count
+from typing import Protocol
+
+from stairhatch import interface as say
+from stairhatch.choice import Controller
+from stairhatch.interface import Ending, Report, Standing
+
+ANSWER_EARLY_S = 0.03  # attempts and calls end this long before the caller stops waiting
+BACKSTOP_S = 0.01  # what the decisions have left unanswered so long after that is failed
+PAUSE_MARGIN_S = 0.02  # added to the pause after an unclear end: the two roads differ in length
+REMEMBERED = 20_000  # ids of calls that are over, so that a late message for one is not taken for news
+ENDED, CUT, FULL, MOOT = 16, 41, 34, 102  # causes of a release
+ERRORS = (17, 47)
+
+Logger = Callable[..., None]
+
+
+def idle() -> None:
+    """Stands where nothing has been wired yet."""
+
+
+class Machine:
+    """A state machine at the end of a connection: it is fed bytes, hands bytes out and knows no socket."""
+
+    def __init__(self) -> None:
+        self.wake: Callable[[], None] = idle  # there is something to write; set by the driver
+        self.abort: Callable[[], None] = idle  # end the connection at once; set by the driver
+        self.closing = False
+
+    def done(self) -> bool:
+        """Whether the connection may be closed once all is written."""
+        return self.closing
+
+    def receive(self, data: bytes | memoryview) -> None:
+        """Bytes from the peer."""
+        raise NotImplementedError
+
+    def pull(self) -> bytes:
+        """What is to be written now."""
+        raise NotImplementedError
+
+    def lost(self) -> None:
+        """The connection has ended."""
+        raise NotImplementedError
+
+
+class Caller(Protocol):
+    """One call as its front holds it. Exactly one of `stood`, `refused` and `failed` is called, once."""
+
+    def stood(self, description: bytes) -> None: ...
+    def refused(self, return_s: float) -> None: ...
+    def failed(self) -> None: ...
+    def released(self, cause: int) -> None: ...
+
+
+class ServerSide(Protocol):
+    """What the core asks of the side that speaks to the roster servers."""
+
+    def listed(self, server: Server) -> None: ...
+    def set_up(self, attempt: Attempt) -> None: ...
+    def finish(self, server: Server, ident: str, cause: int) -> None: ...
+
+
+class Stage(Enum):
+    """Where a call is in its life."""
+
+    OFFERED = "offered"
+    STANDING = "standing"
+    OVER = "over"
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A set-up as its caller made it. `ident` goes to the roster server, unchanged."""
+
+    ident: str
+    kind: int  # position of the class in the settings
+    key: str  # the number called, as it was written
+    description: str
+    patience_s: float
+    choice: int = -1
+    called: int = 0
+    redial: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One line of the directory."""
+
+    instance: str
+    address: tuple[str, int]
+    number: int
+    standing: Standing
+    started_s: float = 0.0
+
+
+@dataclass(eq=False, slots=True)
+class Server:
+    """A roster server. Keyed by the directory's instance id, since addresses are used again."""
+
+    id: int
+    listing: Listing
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """A call from its offer to its end."""
+
+    number: int
+    offer: Offer
+    caller: Caller
+    deadline: float
+    stage: Stage = Stage.OFFERED
+    attempt: Attempt | None = None
+    attempts: int = 0
+    pause_until: float = 0.0
+    stood_at: float = 0.0
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One set-up of a call at one server."""
+
+    call: Call
+    server: Server
+    number: int
+    asked_at: float
+    due: float
+    written: bool = False
+    over: bool = False
+
+
+@dataclass(slots=True)
+class Counters:
+    """What was taken in, sent and answered, by kind."""
+
+    counts: dict[str, int] = field(default_factory=dict)
+
+    def add(self, name: str, by: int = 1) -> None:
+        self.counts[name] = self.counts.get(name, 0) + by
+
+
+class Core:
+    """All calls of one softswitch."""
+
+    def __init__(
+        self,
+        settings: say.Settings,
+        rng: random.Random,
+        clock: Callable[[], float],
+        log: Logger,
+        counters: Counters,
+    ) -> None:
+        self.settings, self.clock, self.log, self.counters = settings, clock, log, counters
+        self.controller = Controller(settings, rng)
+        self.servers: dict[int, Server] = {}
+        self.by_instance: dict[str, Server] = {}
+        self.calls: dict[int, Call] = {}
+        self.by_ident: dict[str, Call] = {}
+        self.unanswered = 0
+        self.side: ServerSide
+        self.orphan: list[Callable[[str, int], None]] = []  # where releases of unknown calls go
+        self.wake: Callable[[], None] = idle  # the earliest timer has changed
+        self._over: OrderedDict[str, None] = OrderedDict()
+        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count(1)
+        self._events: deque[say.Event] = deque()
+        self._telling = False
+
+    # ---- timers ----
+
+    def next_due(self) -> float | None:
+        """When `tick` should be called next."""
+        return self._timers[0][0] if self._timers else None
+
+    def tick(self) -> None:
+        """Carry out what is due."""
+        now = self.clock()
+        while self._timers and self._timers[0][0] <= now:
+            heapq.heappop(self._timers)[2]()
+
+    def at(self, due: float, act: Callable[[], None]) -> None:
+        """Have `act` called by `tick` at that time."""
+        heapq.heappush(self._timers, (due, next(self._order), act))
+        if self._timers[0][0] == due:
+            self.wake()
+
+    # ---- the directory ----
+
+    def list_servers(self, lines: Iterable[Listing], complete: bool) -> None:
+        """News of the directory. What is gone cuts the calls that stood there."""
+        told = []
+        named = set()
+        for line in lines:
+            named.add(line.instance)
+            server = self.by_instance.get(line.instance)
+            if server is None:
+                server = Server(len(self.servers) + 1, line)
+                self.servers[server.id] = self.by_instance[line.instance] = server
+            restarted = line.started_s > server.listing.started_s
+            server.listing = line
+            if line.standing is Standing.GONE or restarted:
+                self.cut_standing(server, before=line.started_s if restarted else self.clock() + 1)
+            told.append(self._line(server))
+            self.side.listed(server)
+            self.log("listed", server=line.instance, state=line.standing.value, cell=line.number)
+        if complete:
+            for server in self.servers.values():
+                if server.listing.instance not in named and server.listing.standing is not Standing.GONE:
+                    old = server.listing
+                    gone = Listing(old.instance, old.address, old.number, Standing.GONE, old.started_s)
+                    server.listing = gone
+                    self.cut_standing(server, before=self.clock() + 1)
+                    self.side.listed(server)
+        self._tell(say.ServersListed(tuple(told), complete))
+
+    @staticmethod
+    def _line(server: Server) -> say.ListedServer:
+        line = server.listing
+        return say.ListedServer(server.id, line.number, line.standing, line.started_s)
+
+    def cut_standing(self, server: Server, before: float) -> None:
+        """Its process has gone, and with it the calls that stood there before that time."""
+        cut = [
+            call
+            for call in self.calls.values()
+            if call.stage is Stage.STANDING
+            and call.attempt is not None
+            and call.attempt.server is server
+            and call.stood_at < before
+        ]
+        for call in cut:
+            self._call_ended(call, CUT, Report())
+
+    # ---- callers ----
+
+    def offer(self, offer: Offer, caller: Caller) -> Call | None:
+        """A call is taken: one final answer is owed. None for an id that is in use, which is not taken."""
+        if offer.ident in self.by_ident:
+            return None
+        now = self.clock()
+        call = Call(next(self._order), offer, caller, now + offer.patience_s - ANSWER_EARLY_S)
+        self.calls[call.number] = self.by_ident[offer.ident] = call
+        self.unanswered += 1
+        self.counters.add("calls_taken")
+        self.log("taken", call=offer.ident, kind=offer.kind, patience_ms=int(offer.patience_s * 1000))
+        self.at(call.deadline + BACKSTOP_S, lambda: self._backstop(call))
+        self._tell(
+            say.CallOffered(
+                call=call.number,
+                kind=offer.kind,
+                choice=offer.choice,
+                grace_s=offer.patience_s,
+                redial=offer.redial,
+                called=offer.called,
+            )
+        )
+        return call
+
+    def caller_left(self, call: Call) -> None:
+        """The caller gave the set-up up; no answer is owed any more."""
+        if call.stage is Stage.STANDING:
+            self.caller_released(call, ENDED)
+        if call.stage is not Stage.OFFERED:
+            return
+        self.counters.add("calls_given_up")
+        self.log("left", call=call.offer.ident)
+        self._close(call)
+        attempt = call.attempt
+        self._tell(say.CallerLeft(call.number))
+        if attempt is not None and not attempt.over:
+            self._give_up(attempt, Ending.CANCELLED)
+
+    def caller_released(self, call: Call, cause: int) -> None:
+        """The caller ends a call that stands."""
+        if call.stage is Stage.STANDING and call.attempt is not None:
+            attempt = call.attempt
+            self.counters.add("calls_released_by_caller")
+            self.log("release", call=call.offer.ident, side="caller", cause=cause)
+            self.side.finish(attempt.server, call.offer.ident, cause)
+            self._close(call)
+            self._attempt_ended(attempt, Ending.CANCELLED, Report())
+
+    def release_unknown(self, ident: str, cause: int) -> None:
+        """A caller ends a call from before a restart: only the roster servers know which of them holds it."""
+        self.counters.add("releases_of_unknown_calls")
+        for server in self.servers.values():
+            if server.listing.standing is not Standing.GONE:
+                self.side.finish(server, ident, cause)
+
+    def _backstop(self, call: Call) -> None:
+        if call.stage is Stage.OFFERED:
+            self.log("guard", call=call.offer.ident, why="the decisions left it unanswered")
+            self._final(call, say.FailCall(call.number))
+            self._tell(say.CallerLeft(call.number))
+
+    # ---- roster servers ----
+
+    def may_write(self, attempt: Attempt) -> int | None:
+        """Asked when a set-up is really written: the time left in milliseconds, or None if it must not go.
+
+        A set-up that has waited for its connection may have been overtaken by its caller, its time-out or
+        the directory.
+        """
+        if attempt.over or attempt.written:
+            return None
+        now = self.clock()
+        if attempt.server.listing.standing is not Standing.READY or attempt.due <= now:
+            self._attempt_ended(attempt, Ending.NOT_SENT, Report())
+            return None
+        attempt.written = True
+        self.counters.add("attempts_sent")
+        self.log(
+            "attempt",
+            call=attempt.call.offer.ident,
+            n=attempt.number,
+            server=attempt.server.listing.instance,
+        )
+        return max(1, int((attempt.due - now) * 1000))
+
+    def not_written(self, attempt: Attempt, reached: bool) -> None:
+        """The set-up never left: there was no connection, or no room on it."""
+        if not attempt.over and not attempt.written:
+            self._attempt_ended(attempt, Ending.NOT_SENT if reached else Ending.UNREACHED, Report())
+
+    def connection_lost(self, attempt: Attempt) -> None:
+        """The connection broke under a set-up that had been written on it."""
+        if not attempt.over and attempt.call.stage is Stage.OFFERED:
+            self._attempt_ended(attempt, Ending.RESET, Report())
+
+    def answered(self, server: Server, ident: str, description: str) -> None:
+        """A roster server says that the call stands."""
+        call = self.by_ident.get(ident)
+        attempt = call.attempt if call is not None else None
+        if call is None or attempt is None or attempt.server is not server or not attempt.written:
+            self.counters.add("late_answers")
+            self.log("late", call=ident, server=server.listing.instance)
+            self.side.finish(server, ident, ENDED)
+            return
+        if call.stage is not Stage.OFFERED:
+            return
+        now = self.clock()
+        call.stage, call.stood_at = Stage.STANDING, now
+        self.unanswered -= 1
+        self.counters.add("answers_stood")
+        self.log("answer", call=ident, result="stood", n=attempt.number)
+        call.caller.stood(description.encode("utf-8", "surrogateescape"))
+        self._tell(say.SetupStood(call.number, server.id, now - attempt.asked_at))
+
+    def finished(self, server: Server, ident: str, cause: int, note: str, report: Report) -> None:
+        """A roster server refuses a set-up or releases a call."""
+        call = self.by_ident.get(ident)
+        attempt = call.attempt if call is not None else None
+        if call is None or attempt is None or attempt.server is not server or not attempt.written:
+            self.load_told(server, report)
+            if call is None and ident not in self._over:
+                self.counters.add("releases_of_unknown_calls")
+                self.log("release", call=ident, side="server", cause=cause, known=False)
+                self._remember(ident)
+                for tell in self.orphan:
+                    tell(ident, cause)
+            return
+        if call.stage is Stage.STANDING:
+            self._call_ended(call, cause, report)
+            return
+        ending = Ending.ERROR
+        if cause == FULL:
+            ending = Ending.FULL
+        elif cause == MOOT:
+            ending = Ending.NOT_SENT
+        elif cause not in ERRORS:
+            ending = Ending.RESET
+        self._attempt_ended(attempt, ending, report, note)
+
+    def load_told(self, server: Server, report: Report) -> None:
+        """A roster server's figures, unasked."""
+        if report != Report():
+            self._tell(say.LoadTold(server.id, report))
+
+    # ---- inside ----
+
+    def _call_ended(self, call: Call, cause: int, report: Report) -> None:
+        """A standing call is over by the roster server's doing: its caller is released."""
+        attempt = call.attempt
+        assert attempt is not None
+        self.counters.add("calls_ended" if cause == ENDED else "calls_cut")
+        self.log("release", call=call.offer.ident, side="server", cause=cause)
+        self._close(call)
+        call.caller.released(cause)
+        self._attempt_ended(attempt, Ending.DONE if cause == ENDED else Ending.RESET, report)
+
+    def _close(self, call: Call) -> None:
+        """The call is over; late messages for it are no news."""
+        if call.stage is Stage.OFFERED:
+            self.unanswered -= 1
+        call.stage = Stage.OVER
+        del self.calls[call.number], self.by_ident[call.offer.ident]
+        self._remember(call.offer.ident)
+
+    def _remember(self, ident: str) -> None:
+        self._over[ident] = None
+        if len(self._over) > REMEMBERED:
+            self._over.popitem(last=False)
+
+    def _final(self, call: Call, action: say.RefuseCall | say.FailCall) -> None:
+        """The final answer, once."""
+        attempt = call.attempt
+        self._close(call)
+        if isinstance(action, say.RefuseCall):
+            self.counters.add("answers_refused")
+            self.log("answer", call=call.offer.ident, result="refused", return_ms=int(action.return_s * 1000))
+            call.caller.refused(action.return_s)
+        else:
+            self.counters.add("answers_failed")
+            self.log("answer", call=call.offer.ident, result="failed")
+            call.caller.failed()
+        if attempt is not None and not attempt.over:
+            self._give_up(attempt, Ending.CANCELLED)
+
+    def _set_up(self, action: say.SendSetup) -> None:
+        """The decisions ask for an attempt. What the rules forbid is answered here and never leaves."""
+        now = self.clock()
+        call, server = self.calls.get(action.call), self.servers.get(action.server)
+        if call is None or call.stage is not Stage.OFFERED or call.attempt is not None:
+            self.log("guard", why="an attempt was asked for a call that is over or has one out")
+            self.counters.add("guards")
+            return
+        if server is None:
+            self.log("guard", call=call.offer.ident, why="unknown server")
+            self.counters.add("guards")
+            self._events.append(
+                say.SetupEnded(call.number, action.server, Ending.NOT_SENT, False, Report())
+            )
+            return
+        call.attempts += 1
+        due = call.deadline
+        if action.timeout_s != 0:
+            due = min(due, now + max(0.0, action.timeout_s))
+        attempt = call.attempt = Attempt(call, server, call.attempts, now, due)
+        pools = self.settings.classes[call.offer.kind].pools
+        barred = pools is not None and server.listing.number not in pools
+        ready = server.listing.standing is Standing.READY
+        if barred or not ready or call.attempts > self.settings.attempts or due <= max(now, call.pause_until):
+            self._attempt_ended(attempt, Ending.NOT_SENT, Report())
+            return
+        self.at(due, lambda: self._timed_out(attempt))
+        if now < call.pause_until:
+            self.at(call.pause_until, lambda: self._start(attempt))
+        else:
+            self._start(attempt)
+
+    def _start(self, attempt: Attempt) -> None:
+        if not attempt.over:
+            self.side.set_up(attempt)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if not attempt.over and attempt.call.stage is Stage.OFFERED:
+            self._give_up(attempt, Ending.TIMED_OUT)
+
+    def _give_up(self, attempt: Attempt, ending: Ending) -> None:
+        """Stop waiting for an attempt. One that was never written is never sent."""
+        if attempt.written:
+            self.side.finish(attempt.server, attempt.call.offer.ident, ENDED)
+        elif ending is Ending.TIMED_OUT:
+            ending = Ending.UNREACHED
+        self._attempt_ended(attempt, ending, Report())
+
+    def _attempt_ended(self, attempt: Attempt, ending: Ending, report: Report, note: str = "") -> None:
+        """Each attempt has one outcome, told to the decisions."""
+        now = self.clock()
+        call = attempt.call
+        attempt.over = True
+        call.attempt = None
+        if ending in (Ending.TIMED_OUT, Ending.RESET, Ending.CANCELLED) and attempt.written:
+            call.pause_until = now + self.settings.safety.clear_wait_s + PAUSE_MARGIN_S
+        self.counters.add("outcome_" + ending.value.replace(" ", "_"))
+        self.log(
+            "outcome",
+            call=call.offer.ident,
+            n=attempt.number,
+            ending=ending.value,
+            written=attempt.written,
+            note=note,
+        )
+        self._tell(
+            say.SetupEnded(
+                call=call.number,
+                server=attempt.server.id,
+                ending=ending,
+                answered=call.stage is not Stage.OFFERED,
+                report=report,
+                took_s=now - attempt.asked_at,
+                number_busy=ending is Ending.ERROR and note == "lines_busy",
+                no_line=ending in (Ending.FULL, Ending.NOT_SENT) and note == "no_circuit",
+            )
+        )
+
+    def _tell(self, event: say.Event) -> None:
+        """Give the decisions an event; what their actions lead to is told after, in order."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._telling = False
+
+    def _handle(self, event: say.Event) -> None:
+        """One event. Should the decisions fail, that is logged and the call is still answered."""
+        actions: list[say.Action] = []
+        try:
+            for action in self.controller.handle(self.clock(), event):
+                actions.append(action)  # one by one: what came before a failure counts
+        except Exception as error:  # noqa: BLE001 - a caller must not wait for a fault of ours
+            self.counters.add("decision_faults")
+            self.log("fault", why=f"{type(error).__name__}: {error}", event=type(event).__name__)
+            call = self.calls.get(getattr(event, "call", 0))
+            if call is not None and call.stage is Stage.OFFERED and call.attempt is None:
+                sent = any(isinstance(a, say.SendSetup) and a.call == call.number for a in actions)
+                if not sent:
+                    actions.append(say.FailCall(call.number))
+        for action in actions:
+            self._act(action)
+
+    def _act(self, action: say.Action) -> None:
+        match action:
+            case say.SendSetup():
+                self._set_up(action)
+            case say.RefuseCall() | say.FailCall():
+                call = self.calls.get(action.call)
+                if call is not None and call.stage is Stage.OFFERED:
+                    self._final(call, action)
+            case say.SetTimer(delay_s, label):
+                self.at(self.clock() + delay_s, lambda: self._tell(say.TimerRang(label)))
+            case say.Note(text):
+                self.log("note", text=text)
--- /dev/null
+++ b/stairhatch/node/directory.py
@@ -0,0 +1,128 @@
+"""The coordinator's directory: owns the long poll for changes of the list of roster servers and its HTTP, as
+a state machine that is fed bytes and hands bytes out. It must never know a socket, never skip an event, and
+never judge a server: it only says what the list says.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import httptools
+
+from stairhatch.interface import Standing
+from stairhatch.node.core import Core, Listing, Machine
+
+WAIT_MS = 5000
+MOST_BODY = 4 * 1024 * 1024
+STATES = {
+    "in_service": Standing.READY,
+    "terminating": Standing.DRAINING,
+    "terminated": Standing.GONE,
+}
+
+
+class DirectoryError(ValueError):
+    """An answer that is not the directory's."""
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """`host:port`."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise DirectoryError(f"{text!r} is no address")
+    return host, int(port)
+
+
+def _listing(raw: dict[str, Any]) -> Listing:
+    return Listing(
+        instance=str(raw["instanceId"]),
+        address=parse_address(str(raw["hostPort"])),
+        number=int(raw["cell"]),
+        standing=STATES[raw["lifecycle"]],
+        started_s=float(raw.get("startedAtMs") or 0) / 1000,
+    )
+
+
+def apply_events(core: Core, answer: Any, after: int) -> int:
+    """Tell the core what is new in an answer or in `known`; returns the number of the last event."""
+    try:
+        last = int(answer["index"])
+        for event in answer["updates"]:
+            if int(event["index"]) <= after:
+                continue
+            told = event.get("endpoints")
+            if told is not None:
+                lines = [_listing(raw) for raw in told["instances"]]
+                core.list_servers(lines, complete=bool(told.get("reset")) or after == 0)
+            after = int(event["index"])
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DirectoryError(f"directory event: {type(error).__name__}: {error}") from None
+    return max(last, after)
+
+
+class Directory(Machine):
+    """The subscription. A broken or odd answer ends the connection; the driver comes again."""
+
+    def __init__(self, core: Core, host: str, after: int) -> None:
+        super().__init__()
+        self.core, self.host, self.after = core, host, after
+        self._parser: Any = None
+        self._output = b""
+        self._body = bytearray()
+
+    def connected(self) -> None:
+        """A connection has come up."""
+        self.closing = False
+        self._ask()
+
+    def _ask(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._body.clear()
+        path = f"/v2/stream?follow={self.after}&wait_ms={WAIT_MS}"
+        self._output = f"GET {path} HTTP/1.1\r\nHost: {self.host}\r\n\r\n".encode()
+        self.wake()
+
+    def pull(self) -> bytes:
+        """What is to be written."""
+        data, self._output = self._output, b""
+        return data
+
+    def lost(self) -> None:
+        """The connection has ended."""
+        self._parser = None
+
+    def receive(self, data: bytes | memoryview) -> None:
+        """Bytes from the coordinator."""
+        try:
+            self._parser.feed_data(bytes(data))
+        except (httptools.HttpParserError, DirectoryError) as error:
+            cause = error.__context__ if isinstance(error, httptools.HttpParserCallbackError) else error
+            self.core.counters.add("directory_faults")
+            self.core.log("directory", why=str(cause or error))
+            self.closing = True
+            self.wake()
+
+    def on_body(self, body: bytes) -> None:
+        """Part of an answer."""
+        self._body += body
+        if len(self._body) > MOST_BODY:
+            raise DirectoryError("answer too long")
+
+    def on_message_complete(self) -> None:
+        """A whole answer: tell the news and ask for more."""
+        status = self._parser.get_status_code()
+        if status != 200:
+            raise DirectoryError(f"status {status}")
+        try:
+            answer = json.loads(self._body)
+        except ValueError:
+            raise DirectoryError("answer is no JSON") from None
+        keep = self._parser.should_keep_alive()
+        self.after = apply_events(self.core, answer, self.after)
+        self.core.counters.add("directory_answers")
+        if keep:
+            self._ask()
+        else:
+            self.closing = True
+            self.wake()
--- /dev/null
+++ b/stairhatch/node/sip.py
@@ -0,0 +1,296 @@
+"""SIP's text form (RFC 3261, section 7): owns the incremental parser and the writer that both fronts use.
+It knows message syntax only: it must never know transactions, calls, timers or sockets, and must never keep
+more than one message's worth of bytes.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+MOST_BYTES = 16 * 1024
+TOKEN = re.compile(r"[A-Za-z0-9\-.!%*_+`'~]+\Z")
+COMPACT = {
+    "a": "accept-contact",
+    "b": "referred-by",
+    "c": "content-type",
+    "e": "content-encoding",
+    "f": "from",
+    "i": "call-id",
+    "k": "supported",
+    "l": "content-length",
+    "m": "contact",
+    "o": "event",
+    "r": "refer-to",
+    "s": "subject",
+    "t": "to",
+    "u": "allow-events",
+    "v": "via",
+    "x": "session-expires",
+}
+REASONS = {
+    100: "Trying",
+    180: "Ringing",
+    200: "OK",
+    400: "Bad Request",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Request Entity Too Large",
+    415: "Unsupported Media Type",
+    416: "Unsupported URI Scheme",
+    420: "Bad Extension",
+    480: "Temporarily Unavailable",
+    481: "Call/Transaction Does Not Exist",
+    482: "Loop Detected",
+    483: "Too Many Hops",
+    487: "Request Terminated",
+    488: "Not Acceptable Here",
+    491: "Request Pending",
+    500: "Server Internal Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
+    505: "Version Not Supported",
+}
+Headers = list[tuple[str, str]]
+
+
+class SipError(ValueError):
+    """A message that can't be taken. `partial` is what could be read of it, if it can be answered at all."""
+
+    def __init__(self, status: int, why: str, partial: Message | None = None) -> None:
+        super().__init__(why)
+        self.status, self.partial = status, partial
+
+
+@dataclass(slots=True)
+class Message:
+    """A request (with `method` and `uri`) or a response (with `status`). Header names are in lower case."""
+
+    method: str = ""
+    uri: str = ""
+    status: int = 0
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+
+    def get(self, name: str, default: str = "") -> str:
+        """The first header of that name."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return default
+
+    def all(self, name: str) -> list[str]:
+        """All values of that name, in order, also those that share a line."""
+        found: list[str] = []
+        for key, value in self.headers:
+            if key == name:
+                found.extend(split_list(value))
+        return found
+
+    def cseq(self) -> tuple[int, str]:
+        """Number and method of CSeq; (-1, "") where it is malformed."""
+        number, _, method = self.get("cseq").partition(" ")
+        if not number.isascii() or not number.isdigit() or int(number) >= 2**31:
+            return -1, ""
+        return int(number), method.strip()
+
+
+def split_list(value: str) -> list[str]:
+    """Cut a header at its commas, but not inside quotes or angle brackets."""
+    if "," not in value:
+        return [value.strip()]
+    pieces, start, quoted, angled = [], 0, False, False
+    for at, char in enumerate(value):
+        if char == '"' and (at == 0 or value[at - 1] != "\\"):
+            quoted = not quoted
+        elif quoted:
+            continue
+        elif char in "<>":
+            angled = char == "<"
+        elif char == "," and not angled:
+            pieces.append(value[start:at].strip())
+            start = at + 1
+    pieces.append(value[start:].strip())
+    return [piece for piece in pieces if piece]
+
+
+def parameters(value: str) -> dict[str, str]:
+    """The `;name=value` parameters after the address or first word of a header, names in lower case."""
+    rest = value[value.rindex(">") + 1 :] if ">" in value else value
+    found = {}
+    for piece in rest.split(";")[1:]:
+        name, _, text = piece.partition("=")
+        found[name.strip().lower()] = text.strip().strip('"')
+    return found
+
+
+def address_of(value: str) -> str:
+    """The URI inside a From, To, Contact or Route header."""
+    if "<" in value and ">" in value:
+        return value[value.index("<") + 1 : value.index(">")]
+    return value.split(";")[0].strip()
+
+
+def user_of(uri: str) -> str:
+    """The user part of a `sip:` URI, "" if it has none."""
+    scheme, _, rest = uri.partition(":")
+    if scheme.lower() not in ("sip", "sips") or "@" not in rest:
+        return ""
+    return rest.split("@", 1)[0].split(":")[0].split(";")[0]
+
+
+def _parse_head(head: str) -> Message:
+    """The start line and the headers, unfolded, with compact names written out."""
+    lines = head.split("\r\n") if "\r\n" in head else head.split("\n")
+    message = _start_line(lines[0])
+    fault = ""
+    for line in lines[1:]:
+        if line[:1] in (" ", "\t"):
+            if message.headers:
+                name, value = message.headers[-1]
+                message.headers[-1] = (name, f"{value} {line.strip()}".strip())
+            continue
+        name, colon, value = line.partition(":")
+        name = name.strip().lower()
+        if not colon or not TOKEN.match(name):
+            fault = fault or f"malformed header {line[:40]!r}"
+            continue
+        message.headers.append((COMPACT.get(name, name), value.strip()))
+    if fault:
+        raise SipError(400, fault, message)
+    return message
+
+
+def _start_line(line: str) -> Message:
+    words = line.split(" ")
+    if words[0].upper() == "SIP/2.0":
+        if len(words) < 2 or not re.fullmatch(r"[1-6][0-9][0-9]", words[1]):
+            raise SipError(400, "malformed status line")
+        return Message(status=int(words[1]))
+    if len(words) != 3 or not TOKEN.match(words[0]) or not re.fullmatch(r"SIP/\d+\.\d+", words[2], re.I):
+        raise SipError(400, "malformed request line")
+    message = Message(method=words[0], uri=words[1])
+    if words[2].upper() != "SIP/2.0":
+        raise _VersionError(message)
+    return message
+
+
+class _VersionError(Exception):
+    """Another version of SIP: the rest is still read, to answer 505."""
+
+    def __init__(self, message: Message) -> None:
+        super().__init__()
+        self.message = message
+
+
+def _head(data: bytes) -> Message:
+    """Parse a head; another version's headers are read too, so that it can be answered."""
+    text = data.decode("utf-8", "surrogateescape")
+    try:
+        return _parse_head(text)
+    except _VersionError as other:
+        first, _, rest = text.partition("\n")
+        try:
+            partial = _parse_head(f"{other.message.method} {other.message.uri} SIP/2.0\r\n{rest}")
+        except SipError as error:
+            partial = error.partial or other.message
+        raise SipError(505, f"version in {first.strip()[:60]!r}", partial) from None
+
+
+def _length(message: Message) -> int | None:
+    """Content-Length; None if it is absent."""
+    values = [value for name, value in message.headers if name == "content-length"]
+    if not values:
+        return None
+    if len(set(values)) > 1 or not values[0].isascii() or not values[0].isdigit():
+        raise SipError(400, "bad Content-Length", message)
+    return int(values[0]) if len(values[0]) < 10 else MOST_BYTES + 1
+
+
+def parse_datagram(data: bytes) -> Message:
+    """One message that fills a datagram; a body beyond Content-Length is cut off (RFC 3261, 18.3)."""
+    if len(data) > MOST_BYTES:
+        raise SipError(413, "longer than 16 KiB")
+    data = data.lstrip(b"\r\n")
+    head, _, body = data.partition(b"\r\n\r\n")
+    message = _head(head)
+    length = _length(message)
+    if length is not None and length > len(body):
+        raise SipError(400, "the datagram is shorter than its Content-Length", message)
+    message.body = body if length is None else body[:length]
+    return message
+
+
+class StreamParser:
+    """Cuts a byte stream into messages. After a SipError the stream can't be followed any further."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._message: Message | None = None
+        self._length = 0
+        self._seen = 0
+
+    def feed(self, data: bytes | memoryview) -> None:
+        """Add what has come."""
+        self._data += data
+
+    def next(self) -> Message | None:
+        """The next whole message, or None until more has come."""
+        if self._message is None and not self._next_head():
+            return None
+        message = self._message
+        if message is None or len(self._data) < self._length:
+            return None
+        message.body = bytes(self._data[: self._length])
+        del self._data[: self._length]
+        self._message = None
+        return message
+
+    def _next_head(self) -> bool:
+        skip = 0
+        while skip < len(self._data) and self._data[skip] in b"\r\n":
+            skip += 1  # keep-alives between messages
+        if skip:
+            del self._data[:skip]
+            self._seen = 0
+        end = self._data.find(b"\r\n\r\n", max(0, self._seen - 3))
+        self._seen = len(self._data)
+        if end < 0 or end + 4 > MOST_BYTES:
+            if len(self._data) > MOST_BYTES:
+                raise SipError(413, "head longer than 16 KiB")
+            return False
+        message = _head(bytes(self._data[:end]))
+        length = _length(message)
+        if length is None:
+            raise SipError(400, "no Content-Length on a stream", message)
+        if end + 4 + length > MOST_BYTES:
+            raise SipError(413, "longer than 16 KiB", message)
+        del self._data[: end + 4]
+        self._message, self._length, self._seen = message, length, 0
+        return True
+
+
+NAMES = {"cseq": "CSeq", "call-id": "Call-ID", "come-back-ms": "Come-Back-Ms"}
+
+
+def _write(first: str, headers: Headers, body: bytes) -> bytes:
+    lines = [first]
+    lines += [f"{NAMES.get(name) or name.title()}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}\r\n\r\n")
+    return "\r\n".join(lines).encode("utf-8", "surrogateescape") + body
+
+
+def request(method: str, uri: str, headers: Headers, body: bytes = b"") -> bytes:
+    """The bytes of a request; Content-Length is added."""
+    return _write(f"{method} {uri} SIP/2.0", headers, body)
+
+
+def response(status: int, headers: Headers, body: bytes = b"") -> bytes:
+    """The bytes of a response; Content-Length is added."""
+    return _write(f"SIP/2.0 {status} {REASONS.get(status, 'Unknown')}", headers, body)
+
+
+def echoed(message: Message) -> Headers:
+    """The headers that every response repeats (RFC 3261, 8.2.6)."""
+    wanted = ("via", "from", "to", "call-id", "cseq")
+    return [(name, value) for name, value in message.headers if name in wanted]
