--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -64,7 +64,7 @@
 
     def stood(self, description: bytes) -> None: ...
     def refused(self, return_s: float) -> None: ...
-    def failed(self) -> None: ...
+    def failed(self, timed_out: bool) -> None: ...
     def released(self, cause: int) -> None: ...
 
 
@@ -434,6 +434,10 @@
         del self.calls[call.number], self.by_ident[call.offer.ident]
         self._remember(call.offer.ident)
 
+    def was_over(self, ident: str) -> bool:
+        """Whether a call of that id has ended lately."""
+        return ident in self._over
+
     def _remember(self, ident: str) -> None:
         self._over[ident] = None
         if len(self._over) > REMEMBERED:
@@ -453,7 +457,7 @@
             self.counters.add("answers_failed")
             if self.tracing:
                 self.log("answer", call=call.offer.ident, result="failed")
-            call.caller.failed()
+            call.caller.failed(timed_out=self.clock() >= call.deadline - ANSWER_EARLY_S)
         if attempt is not None and not attempt.over:
             self._give_up(attempt, Ending.CANCELLED)
 
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -15,6 +15,7 @@
 from stairhatch.node.core import Core, Machine, idle
 from stairhatch.node.directory import Directory
 from stairhatch.node.roster import RosterLink
+from stairhatch.node.sip_front import SipConnection, SipDatagrams
 
 BUFFER_BYTES = 16 * 1024
 CONNECT_S = 0.5
@@ -23,6 +24,9 @@
 FLUSH_S = 1.0
 
 
+Accept = Callable[[tuple[str, int]], Machine]
+
+
 class Pool:
     """Buffers of one size, used again."""
 
@@ -82,7 +86,7 @@
             self.core.counters.add("task_faults")
             self.core.log("fault", why=f"{type(error).__name__}: {error}")
 
-    def listen(self, address: tuple[str, int], accept: Callable[[], Machine], most: int) -> socket.socket:
+    def listen(self, address: tuple[str, int], accept: Accept, most: int) -> socket.socket:
         """Take connections at an address; at most `most` are open at a time."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -92,14 +96,14 @@
         self.spawn(self._accept(sock, accept, most))
         return sock
 
-    async def _accept(self, listener: socket.socket, accept: Callable[[], Machine], most: int) -> None:
+    async def _accept(self, listener: socket.socket, accept: Accept, most: int) -> None:
         count = 0
 
-        async def serve(sock: socket.socket) -> None:
+        async def serve(sock: socket.socket, peer: tuple[str, int]) -> None:
             nonlocal count
             count += 1
             try:
-                await self._run(sock, accept())
+                await self._run(sock, accept(peer))
             finally:
                 count -= 1
 
@@ -108,7 +112,7 @@
                 await asyncio.sleep(0.02)
                 continue
             try:
-                sock, _ = await self.loop.sock_accept(listener)
+                sock, peer = await self.loop.sock_accept(listener)
             except OSError as error:
                 if error.errno == errno.EBADF:
                     return
@@ -116,7 +120,7 @@
                 await asyncio.sleep(0.05)
                 continue
             self.core.counters.add("connections_taken")
-            self.spawn(serve(sock))
+            self.spawn(serve(sock, peer))
 
     async def _run(self, sock: socket.socket, machine: Machine) -> None:
         """Carry bytes both ways until either side ends."""
@@ -179,6 +183,60 @@
             raise
         return sock
 
+    def dial_caller(self, connection: SipConnection) -> None:
+        """Open a connection to a caller, for what it has to be told."""
+        self.spawn(self._dial_caller(connection))
+
+    async def _dial_caller(self, connection: SipConnection) -> None:
+        try:
+            sock = await self._connect(connection.peer)
+        except (OSError, TimeoutError):
+            self.core.counters.add("callers_unreached")
+            connection.lost()
+            return
+        await self._run(sock, connection)
+
+    # ---- datagrams ----
+
+    def datagrams(self, address: tuple[str, int], port: SipDatagrams) -> socket.socket:
+        """Take and send datagrams. uvloop 0.23 has no sock_recvfrom_into or sock_sendto (both raise
+        NotImplementedError), so the socket is watched and read here, into one buffer of the pool.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind(address)
+        buffer = self.pool.take()
+        self.loop.add_reader(sock, self._read_datagrams, sock, buffer, port)
+
+        def send() -> None:
+            while port.output:
+                data, peer = port.output[0]
+                try:
+                    sock.sendto(data, peer)
+                except BlockingIOError:
+                    self.loop.add_writer(sock, flush)
+                    return
+                except OSError:
+                    self.core.counters.add("datagrams_unsent")
+                port.output.popleft()
+
+        def flush() -> None:
+            self.loop.remove_writer(sock)
+            send()
+
+        port.wake = send
+        return sock
+
+    def _read_datagrams(self, sock: socket.socket, buffer: bytearray, port: SipDatagrams) -> None:
+        for _ in range(64):  # then others have their turn
+            try:
+                size, peer = sock.recvfrom_into(buffer)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # an earlier datagram came back as unreachable
+            port.receive(bytes(memoryview(buffer)[:size]), peer)
+
     # ---- what the softswitch keeps connections to ----
 
     def dial(self, link: RosterLink) -> None:
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -59,7 +59,7 @@
         self.branch = 0
         core.orphan.append(self.release)
 
-    def connect(self) -> TrunkConnection:
+    def connect(self, peer: tuple[str, int] = ("", 0)) -> TrunkConnection:
         """A caller has connected."""
         connection = TrunkConnection(self)
         self.connections[connection] = None
@@ -104,7 +104,7 @@
     def refused(self, return_s: float) -> None:
         self._answer(503, [("come-back-ms", str(int(return_s * 1000)))] if return_s > 0 else [])
 
-    def failed(self) -> None:
+    def failed(self, timed_out: bool) -> None:
         self._answer(500, [])
 
     def released(self, cause: int) -> None:
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,235 @@
+"""Stories of the platform's softswitch: the real program between scripted callers, roster servers and a
+coordinator. Each guards against one failure that a caller or an operator would feel.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from itertools import pairwise
+
+import pytest
+
+from .peers import SETTINGS, Coordinator, Program, RosterServer, free_port, instance, until
+
+IDS = iter(f"{n:016x}" for n in range(1, 1000))
+RESET, SILENT = RosterServer.ends(41), RosterServer.silent
+
+
+@pytest.fixture
+def stage(tmp_path):
+    """Starts a program before roster servers with the given scripts; ends all of it afterwards."""
+    started = []
+
+    def start(*scripts):
+        servers = [RosterServer(script) for script in scripts]
+        lines = [instance(f"s-{cell}", each.port, cell) for cell, each in enumerate(servers)]
+        coordinator = Coordinator(*lines)
+        program = Program.on_platform(tmp_path, coordinator)
+        started.append(program)
+        return program, coordinator, servers
+
+    yield start
+    for program in started:
+        program.kill()
+
+
+@pytest.mark.parametrize(
+    ("scripts", "kind", "status", "sends"),
+    [
+        ([None], "read-roster", 200, 1),
+        ([RosterServer.ends(34), None], "save-roster", 200, 2),  # full: at once to the other one
+        ([RosterServer.ends(17, "lines_busy")], "read-roster", 500, 1),  # a busy number is not tried again
+        ([SILENT], "read-roster", 500, 1),
+        ([], "read-roster", 503, 0),
+        ([None], "no-such-class", 400, 0),
+    ],
+)
+def test_one_final_answer_whatever_the_servers_do(stage, scripts, kind, status, sends):
+    """Guards against a call that is answered twice, late or never."""
+    program, _, servers = stage(*scripts)
+    caller, ident = program.caller(), next(IDS)
+    began = time.monotonic()
+    caller.invite(ident, kind, within=1000, body='quotes " and æøå\r\n'.encode())
+    until(lambda: caller.finals(ident), "a final answer")
+    assert time.monotonic() - began < 1.0 or status != 500, "the caller would have given up"
+    assert program.stop() == 0
+    assert caller.finals(ident) == [status]
+    assert sum(len(server.of("START")) for server in servers) == sends
+    if status == 200:
+        start = servers[-1].of("START")[0]
+        assert start["opts"]["class"] == kind and start["opts"]["key"] == "7f3a9c21e0b4d655"
+        assert caller.of(ident, 200)[0].body == ("v=0 " + start["blob"]).encode()
+        assert start["blob"] == 'quotes " and æøå\r\n'
+
+
+@pytest.mark.parametrize("reopened", [False, True])
+def test_a_release_reaches_the_caller_on_any_connection(stage, reopened):
+    """Guards against a call left standing because its own connection has gone."""
+    program, _, (server,) = stage(None)
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident)
+    caller.expect(ident, 200)
+    if reopened:
+        caller.close()
+        caller = program.caller()
+    server.say("FINISH", ident, rc=16)
+    assert caller.expect(ident, "BYE").get("reason") == "Q.850;cause=16"
+
+
+def test_a_release_waits_for_a_caller_to_connect(stage):
+    """Guards against a release that is lost because nobody is connected just then."""
+    program, _, (server,) = stage(None)
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident)
+    caller.expect(ident, 200)
+    caller.close()
+    server.say("FINISH", ident, rc=16)
+    until(lambda: program.lines("release"))
+    program.caller().expect(ident, "BYE")
+
+
+def test_a_call_from_before_a_restart_is_released_both_ways(stage):
+    """Guards against calls that outlive the softswitch that set them up."""
+    program, _, (server,) = stage(None)
+    caller, old, other = program.caller(), next(IDS), next(IDS)
+    until(lambda: server.links)
+    server.say("FINISH", old, rc=16)
+    caller.expect(old, "BYE")
+    caller.send("BYE", "sip:x@net", {"call-id": other, "cseq": "2 BYE", "reason": "Q.850;cause=31"})
+    caller.expect(other, 200)
+    assert until(lambda: server.of("FINISH"))[0] == {"verb": "FINISH", "tag": other, "opts": {}, "rc": 31}
+
+
+@pytest.mark.parametrize("by", ["cancel", "close"])
+def test_a_set_up_given_up_is_given_up_at_the_server_and_a_late_answer_released(stage, by):
+    """Guards against calls that stand at a server with no caller."""
+    program, _, (server,) = stage(SILENT)
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident)
+    until(lambda: server.of("START"))
+    if by == "cancel":
+        caller.send("CANCEL", "sip:x@net", {"call-id": ident, "cseq": "1 CANCEL"})
+    else:
+        caller.close()
+    until(lambda: len(server.of("FINISH")) == 1, "the set-up given up")
+    server.say("STARTED", ident, blob="late")
+    until(lambda: len(server.of("FINISH")) == 2, "the late answer released")
+    assert not caller.finals(ident)
+
+
+def test_the_release_pause_is_kept_and_never_two_attempts_are_out(stage):
+    """Guards against the rules on release and on second copies, as a server sees them."""
+    program, _, (server,) = stage(RESET)
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident, within=2500)
+    until(lambda: caller.finals(ident))
+    times = [at for at, message in server.got if message["verb"] == "START"]
+    assert len(times) >= 2
+    assert all(b - a >= 0.5 for a, b in pairwise(times))
+
+
+def test_a_dying_server_resets_its_set_ups_and_cuts_its_calls(stage):
+    """Guards against calls left standing, and set-ups left waiting, at a process that is gone."""
+    program, _, (server, other) = stage(None, None)
+    caller, standing, waiting = program.caller(), next(IDS), next(IDS)
+    caller.invite(standing)
+    caller.expect(standing, 200)
+    server.script = SILENT
+    caller.invite(waiting)
+    until(lambda: len(server.of("START")) == 2)
+    server.close()
+    assert caller.expect(standing, "BYE").get("reason") == "Q.850;cause=41"
+    caller.expect(waiting, 200)
+    assert [m["tag"] for m in other.of("START")] == [waiting]
+
+
+def test_a_drained_server_gets_nothing_and_its_address_may_be_used_again(stage):
+    """Guards against servers known by address: a new one had that of one that drains."""
+    program, coordinator, (server, other) = stage(None, None)
+    caller = program.caller()
+    coordinator.tell(instance("s-0", server.port, 0, "terminating"))
+    first, second = next(IDS), next(IDS)
+    caller.invite(first)
+    caller.expect(first, 200)
+    assert not server.of("START") and other.of("START")
+    coordinator.tell(
+        instance("s-0", server.port, 0, "terminated"), instance("s-9", server.port, 0),
+        instance("s-1", other.port, 1, "terminating"),
+    )  # fmt: skip
+    caller.invite(second)
+    caller.expect(second, 200)
+    assert [m["tag"] for m in server.of("START")] == [second]
+
+
+def test_sigterm_finishes_what_was_taken_and_still_takes_what_comes(stage):
+    """Guards against calls lost at a planned restart."""
+    program, _, (server,) = stage(SILENT)
+    caller, early, late = program.caller(), next(IDS), next(IDS)
+    caller.invite(early)
+    until(lambda: server.of("START"))
+    program.process.terminate()
+    until(lambda: program.lines("stopping"))
+    newcomer = program.caller()
+    newcomer.invite(late)
+    until(lambda: len(server.of("START")) == 2)
+    for ident in (early, late):
+        server.say("STARTED", ident, blob="d")
+    assert program.process.wait(20) == 0
+    assert caller.finals(early) == [200] and newcomer.finals(late) == [200]
+    counted = program.lines("counters")[-1]
+    assert counted["calls_taken"] == "2" and counted["answers_stood"] == "2"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"INVITE sip:1@net SIP/2.0\r\nCall-ID: x\r\nCSeq: 1 INVITE\r\n\r\n", 400),  # no Content-Length
+        (b"INVITE sip:1@net SIP/3.0\r\nCall-ID: x\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n", 505),
+        (b"INVITE sip:1@net SIP/2.0\r\nCall-ID: x\r\nCSeq: 1 INVITE\r\nContent-Length: 99999\r\n\r\n", 413),
+    ],
+)
+def test_what_is_malformed_ends_its_connection_only(stage, data, status):
+    """Guards against one caller's bad bytes taking the others down."""
+    program, _, _ = stage(None)
+    bad, good, ident = program.caller(), program.caller(), next(IDS)
+    bad.sock.sendall(data)
+    bad.expect("x", status)
+    until(lambda: bad.closed)
+    good.invite(ident)
+    good.expect(ident, 200)
+
+
+def test_a_test_is_passed_and_other_methods_are_refused(stage):
+    """Guards against a front that never takes the softswitch in."""
+    program, _, _ = stage(None)
+    caller = program.caller()
+    caller.send("OPTIONS", "sip:ping@net", {"call-id": "p", "cseq": "1 OPTIONS"})
+    caller.send("REFER", "sip:ping@net", {"call-id": "q", "cseq": "1 REFER"})
+    caller.expect("p", 200)
+    assert "INVITE" in caller.expect("q", 405).get("allow")
+
+
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        (None, "RELAY_CONFIG"),
+        ("{", "no JSON"),
+        ({"listen": "nowhere"}, "nowhere"),
+        ({"settings": {**SETTINGS, "balancers": 0}}, "balancers"),
+        ({"settings": {"classes": 3}}, "boot_info"),
+        ({"known": {"index": 1}}, "directory event"),
+        ({"coordinator": None}, "coordinator"),
+    ],
+)
+def test_a_bad_configuration_ends_in_one_plain_line(tmp_path, change, says):
+    """Guards against tracebacks where an operator mistyped something."""
+    path = tmp_path / "config.json"
+    config = {
+        "name": "n0", "listen": f"127.0.0.1:{free_port()}", "coordinator": "127.0.0.1:1",
+        "known": {"index": 0, "updates": []}, "settings": SETTINGS,
+    }  # fmt: skip
+    path.write_text(change if isinstance(change, str) else json.dumps({**config, **(change or {})}))
+    program = Program(tmp_path, RELAY_CONFIG=str(path) if change else "")
+    assert program.process.wait(20) == 2
+    assert program.text().count("\n") == 1 and says in program.text()
