--- a/stairhatch/node/directory.py
+++ b/stairhatch/node/directory.py
@@ -26,9 +26,9 @@
     """An answer that is not the directory's."""
 
 
-def parse_address(text: str) -> tuple[str, int]:
+def parse_address(text: object) -> tuple[str, int]:
     """`host:port`."""
-    host, _, port = text.rpartition(":")
+    host, _, port = str(text).rpartition(":")
     if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
         raise DirectoryError(f"{text!r} is no address")
     return host, int(port)
