--- a/stairhatch/node/sip.py
+++ b/stairhatch/node/sip.py
@@ -229,11 +229,11 @@
 
 def parse_datagram(data: bytes) -> Message:
     """One message that fills a datagram; a body beyond Content-Length is cut off (RFC 3261, 18.3)."""
-    if len(data) > MOST_BYTES:
-        raise SipError(413, "longer than 16 KiB")
-    data = data.lstrip(b"\r\n")
-    head, _, body = data.partition(b"\r\n\r\n")
+    too_long = len(data) >= MOST_BYTES  # a datagram that fills the buffer may have been cut off
+    head, _, body = data.lstrip(b"\r\n").partition(b"\r\n\r\n")
     message = _head(head)
+    if too_long:
+        raise SipError(413, "longer than 16 KiB", message)
     length = _length(message)
     if length is not None and length > len(body):
         raise SipError(400, "the datagram is shorter than its Content-Length", message)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,7 +19,11 @@
 from pathlib import Path
 from typing import Any
 
+from stairhatch.interface import Standing
 from stairhatch.node import sip
+from stairhatch.node.core import Attempt, Core, Counters, Listing
+from stairhatch.node.sip_front import Flow, SipConfig, SipFront
+from stairhatch.settings import settings_from
 
 ROOT = Path(__file__).parent.parent
 PATIENCE_S = 20.0  # how long a story waits for what must come; far more than it takes
@@ -279,6 +284,22 @@
         until(lambda: " ready " in program.text(), "the ready line")
         return program
 
+    @classmethod
+    def as_appliance(cls, folder: Path, *servers: RosterServer) -> Program:
+        """Start it by a copy of deploy/sip.toml with ports of its own."""
+        text = (ROOT / "deploy" / "sip.toml").read_text()
+        port = free_port(socket.SOCK_DGRAM)
+        names = {"127.0.0.1:5060": f"127.0.0.1:{port}"}
+        names.update({f"127.0.0.1:{7001 + i}": f"127.0.0.1:{each.port}" for i, each in enumerate(servers)})
+        for old, new in names.items():
+            text = text.replace(old, new)
+        path = folder / "sip.toml"
+        path.write_text(text)
+        program = cls(folder, "--sip", str(path))
+        program.address = ("127.0.0.1", port)
+        until(lambda: " ready " in program.text(), "the ready line")
+        return program
+
     address: tuple[str, int] = ("", 0)
 
     def text(self) -> str:
@@ -308,3 +329,86 @@
         """End it at once, as a crash would."""
         self.process.kill()
         self.process.wait(PATIENCE_S)
+
+
+class Inside:
+    """The SIP front and the core in this process, with a clock set by hand and flows that only record."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.settings = settings_from(SETTINGS)[0]
+        self.core = Core(self.settings, random.Random(1), lambda: self.now, lambda *a, **k: None, Counters())
+        self.core.side = self
+        self.written: list[Attempt] = []
+        self.finishes: list[tuple[str, int]] = []
+        config = SipConfig(("127.0.0.1", 1), ("127.0.0.1", 1), "127.0.0.1:1", 0, (("7", 1, 0),), 9)
+        tokens = (f"t{n}" for n in range(10**6))
+        self.front = SipFront(self.core, config, lambda: next(tokens))
+        self.core.list_servers([Listing("s", ("127.0.0.1", 9), 0, Standing.READY)], True)
+
+    def listed(self, server: object) -> None:
+        """The core's view of the roster side."""
+
+    def set_up(self, attempt: Attempt) -> None:
+        """A set-up is written at once."""
+        if self.core.may_write(attempt) is not None:
+            self.written.append(attempt)
+
+    def finish(self, server: object, ident: str, cause: int) -> None:
+        """A set-up given up, or a call released."""
+        self.finishes.append((ident, cause))
+
+    def stand(self) -> None:
+        """The roster server answers the set-up written last."""
+        attempt = self.written[-1]
+        self.core.answered(attempt.server, attempt.call.offer.ident, "v=0 æ")
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, timer by timer."""
+        end = self.now + seconds
+        while (due := self.core.next_due()) is not None and due <= end:
+            self.now = max(self.now, due)
+            self.core.tick()
+        self.now = end
+
+
+class Line(Flow):
+    """A flow that keeps what is sent on it."""
+
+    def __init__(self, inside: Inside, reliable: bool = False) -> None:
+        self.inside, self.reliable, self.peer = inside, reliable, ("127.0.0.1", 4000)
+        self.sent: list[sip.Message] = []
+
+    def send(self, data: bytes) -> None:
+        self.sent.append(sip.parse_datagram(data))
+
+    def ask(self, method: str = "INVITE", **change: str | None) -> sip.Message:
+        """Send a plain request, with some headers changed or left out (None); returns the last answer."""
+        number = change.pop("number", "1")
+        headers = sip_headers(method, number or "1", change.pop("branch", None) or f"z9hG4bK{method}{number}")
+        headers.update({name.replace("_", "-"): value for name, value in change.items()})  # type: ignore[misc]
+        uri = headers.pop("uri", "sip:7@net")
+        lines = [(name, value) for name, value in headers.items() if value is not None]
+        self.inside.front.receive(self, sip.parse_datagram(sip.request(method, str(uri), lines, b"")))
+        return self.sent[-1] if self.sent else sip.Message()
+
+    def statuses(self, method: str = "INVITE") -> list[int]:
+        """The responses to a method, in order."""
+        return [m.status for m in self.sent if m.status and m.cseq()[1] == method]
+
+    def tag(self) -> str:
+        """Our tag in the last answer."""
+        return sip.parameters(self.sent[-1].get("to"))["tag"]
+
+
+def sip_headers(
+    method: str, number: str = "1", branch: str = "z9hG4bKa", call: str = "c1", host: str = "127.0.0.1:4000",
+    transport: str = "UDP", to_tag: str = "",
+) -> dict[str, str]:
+    """The headers of a plain request."""
+    return {
+        "via": f"SIP/2.0/{transport} {host};branch={branch};rport", "max-forwards": "70",
+        "from": "<sip:office@net>;tag=f1", "to": "<sip:7@net>" + (f";tag={to_tag}" if to_tag else ""),
+        "call-id": call, "cseq": f"{number} {method}",
+        "contact": f"<sip:office@{host}{';transport=tcp' if transport == 'TCP' else ''}>",
+    }  # fmt: skip
