Log an unreachable roster server once, show each link on the console, note what is left

Tried at a terminal: with no roster servers running the console drowned in a line a second for each, and status called them in service. Now a change of reach is one line, and servers and status tell the links.

--- a/stairhatch/node/console.py
+++ b/stairhatch/node/console.py
@@ -69,6 +69,7 @@
         stages = [call.stage for call in core.calls.values()]
         setting_up, standing = stages.count(Stage.OFFERED), stages.count(Stage.STANDING)
         ready = sum(s.listing.standing is Standing.READY for s in core.servers.values())
+        connected = sum(server.connected for server in core.servers.values())
         counts = core.counters.counts
         named = ("answers_stood", "answers_refused", "answers_failed", "calls_given_up")
         stood, refused, failed, given_up = (counts.get(name, 0) for name in named)
@@ -76,14 +77,14 @@
             f"up {int(core.clock() - self.started)} s\n"
             f"calls      {setting_up} being set up, {standing} standing\n"
             f"answered   {stood} stood, {refused} refused, {failed} failed, {given_up} given up by callers\n"
-            f"servers    {ready} of {len(core.servers)} in service\n"
+            f"servers    {ready} of {len(core.servers)} in service, {connected} connected\n"
         )
 
     def _servers(self) -> str:
         core = self.core
         if not core.servers:
             return "the directory names no servers\n"
-        text = f"{'name':20} {'address':22} {'number':>6} {'state':9} {'out':>4} {'standing':>8} started\n"
+        text = f"{'name':20} {'address':22} {'number':>6} {'state':9} link  out standing started\n"
         for server in core.servers.values():
             line = server.listing
             here = [
@@ -95,7 +96,8 @@
             since = time.strftime("%F %T", time.gmtime(line.started_s)) if line.started_s else "long ago"
             text += (
                 f"{line.instance:20} {address:22} {line.number:6} {line.standing.value:9} "
-                f"{here.count(Stage.OFFERED):4} {here.count(Stage.STANDING):8} {since}\n"
+                f"{'up' if server.connected else 'down':4} {here.count(Stage.OFFERED):4} "
+                f"{here.count(Stage.STANDING):8} {since}\n"
             )
         return text
 
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -115,6 +115,7 @@
 
     id: int
     listing: Listing
+    connected: bool = False  # kept by the roster side, for those who look on
 
 
 @dataclass(eq=False, slots=True)
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -103,6 +103,7 @@
         super().__init__()
         self.side, self.server = side, server
         self.retired = False
+        self.told_unreached = False
         self.queue: deque[Attempt | bytes] = deque()
         self.open: dict[str, Attempt] = {}  # written here, not yet answered
         self.data = bytearray()
@@ -128,13 +129,17 @@
     def connected(self) -> None:
         """A connection has come up."""
         self.data.clear()
+        self.server.connected, self.told_unreached = True, False
         self.side.core.counters.add("roster_connections")
+        self.side.core.log("reached", server=self.server.listing.instance)
 
     def failed(self, refused: bool) -> None:
         """A connection did not come up. A refused one proves that the process is gone, with its calls."""
         core = self.side.core
         core.counters.add("roster_connections_failed")
-        core.log("unreached", server=self.server.listing.instance, refused=refused)
+        if not self.told_unreached:  # once: it is tried again every second
+            core.log("unreached", server=self.server.listing.instance, refused=refused)
+            self.told_unreached = True
         waiting = [item for item in self.queue if isinstance(item, Attempt)]
         kept = () if refused or self.retired else (i for i in self.queue if isinstance(i, bytes))
         self.queue = deque(kept)
@@ -145,6 +150,7 @@
 
     def lost(self) -> None:
         """The connection broke: the set-ups open on it are reset."""
+        self.server.connected = False
         broken, self.open = list(self.open.values()), {}
         self.side.core.log("link_lost", server=self.server.listing.instance, open=len(broken))
         for attempt in broken:
--- a/tests/test_sip_front.py
+++ b/tests/test_sip_front.py
@@ -388,7 +388,7 @@
     caller.expect("c1", 200)
     stdin = program.process.stdin
     for command, shows in [
-        ("help", "drain"), ("status", "1 standing"), ("servers", "roster-a"), ("calls", "save-roster"),
+        ("help", "drain"), ("status", "1 standing"), ("servers", "ready     up"), ("calls", "save-roster"),
         ("counters", "answers_stood"), ("wrong", "try help"),
     ]:  # fmt: skip
         stdin.write(command.encode() + b"\n")
