--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -20,7 +20,8 @@
 import time
 import tomllib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from functools import partial
 from typing import Any
 
 import uvloop
@@ -28,7 +29,7 @@
 from stairhatch.interface import Settings
 from stairhatch.node.console import PROMPT, Console
 from stairhatch.node.core import Core, Counters
-from stairhatch.node.directory import Directory, DirectoryError, apply_events, parse_address
+from stairhatch.node.directory import Directory, DirectoryError, apply_events, parse_address, read_events
 from stairhatch.node.net import Network
 from stairhatch.node.roster import RosterSide
 from stairhatch.node.sip_front import SipConfig, SipConfigError, SipFront, read_sip_config
@@ -51,6 +52,7 @@
     settings: Settings
     seed: str = ""
     sockets: int = 1024
+    memory_mb: int = 192
     listen: tuple[str, int] | None = None  # the platform's front
     sip: SipConfig | None = None  # the appliance's front
     coordinator: tuple[str, int] | None = None
@@ -81,6 +83,7 @@
             settings=settings_from(raw["settings"])[0],
             seed=str(raw.get("seed", "")),
             sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+            memory_mb=int(raw.get("limits", {}).get("memory_mb", 192)),
             listen=parse_address(environ.get("RELAY_LISTEN") or raw["listen"]),
             coordinator=parse_address(raw["coordinator"]),
             known=raw["known"],
@@ -104,7 +107,7 @@
         listed = [
             {
                 "instanceId": line["name"], "hostPort": line["address"],
-                "cell": line["number"], "lifecycle": "in_service",
+                "cell": line["number"], "lifecycle": line.get("state", "in_service"),
             }
             for line in raw.get("servers", ())
         ]  # fmt: skip
@@ -170,55 +173,128 @@
         show(f"stairhatch: type help for the commands\n{PROMPT}")
 
 
-async def run(config: Config) -> None:
+def most_callers(config: Config) -> int:
+    """How many connections of callers are open at a time: three quarters of the descriptors, the others being
+    for roster servers and the coordinator, and no more than a quarter of the memory holds (32 KiB each).
+    """
+    return max(16, min(config.sockets * 3 // 4, config.memory_mb * 8))
+
+
+class Service:
+    """One softswitch at work: its parts, and what of a new configuration they take while they run."""
+
+    def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
+        self.config, self.reread = config, reread
+        self.clock = unix_clock()
+        self.log = Log("stairhatch", socket.gethostname(), self.clock, config.syslog)
+        self.counters = Counters()
+        rng = random.Random(config.seed or None)
+        self.core = Core(config.settings, rng, self.clock, self.log, self.counters, config.tracing)
+        self.network = Network(self.core)
+        RosterSide(self.core, self.network.dial)
+        self.trunk: TrunkFront | None = None
+        self.front: SipFront | None = None
+        self.directory: Directory | None = None
+        self.after = 0  # the number of the last event, where no directory counts
+        self.reloaded = "never"
+
+    def listen(self) -> str:
+        """Open the fronts; returns their addresses."""
+        config, network, core = self.config, self.network, self.core
+        listening: list[str] = []
+        try:
+            if config.listen is not None:
+                self.trunk = TrunkFront(core)
+                network.listen(config.listen, self.trunk.connect, most=most_callers(config))
+                listening.append(f"{config.listen[0]}:{config.listen[1]}")
+            if config.sip is not None:
+                front = self.front = SipFront(core, config.sip, lambda: secrets.token_hex(8))
+                front.dial = network.dial_caller
+                if config.sip.udp is not None:
+                    network.datagrams(config.sip.udp, front.datagrams)
+                    listening.append(f"udp:{config.sip.udp[0]}:{config.sip.udp[1]}")
+                if config.sip.tcp is not None:
+                    network.listen(config.sip.tcp, front.connect, most=config.sip.connections)
+                    listening.append(f"tcp:{config.sip.tcp[0]}:{config.sip.tcp[1]}")
+        except OSError as error:
+            raise ConfigError(f"can't listen: {error.strerror}") from None
+        return ",".join(listening)
+
+    def follow(self) -> None:
+        """Take in the roster servers that are known, and what the coordinator tells of them."""
+        try:
+            self.after = apply_events(self.core, self.config.known, 0)
+        except DirectoryError as error:
+            raise ConfigError(str(error)) from None
+        if self.config.coordinator is not None:
+            self.directory = Directory(self.core, self.config.coordinator, self.after)
+            self.network.spawn(self.network.follow(self.directory))
+
+    def reload(self) -> None:
+        """SIGHUP: read the configuration anew. One that can't be used changes nothing."""
+        try:
+            new = self.reread()
+            listed = read_events(new.known, 0)[1]  # before anything is changed
+            if (new.coordinator is None) is not (self.config.coordinator is None):
+                raise ConfigError("a coordinator in place of listed servers, or the reverse, wants a restart")
+        except (ConfigError, DirectoryError) as error:
+            self.counters.add("reloads_refused")
+            self.reloaded = f"refused: {error}"
+            self.log("reload", result="refused", why=str(error))
+            return
+        old, self.config = self.config, new
+        self.core.tracing = new.tracing if new.tracing is not old.tracing else self.core.tracing
+        if self.directory is not None and new.coordinator is not None:
+            self.directory.after = apply_events(self.core, new.known, self.directory.after)
+            if new.coordinator != old.coordinator:
+                self.directory.move(new.coordinator)
+        elif new.known != old.known:  # the list in the file is the whole list
+            self.core.list_servers(listed[0][1], complete=True)
+        later = []
+        if self.front is not None and new.sip is not None:
+            if new.settings == old.settings:  # the numbers name classes by their place in the settings
+                kept = self.front.config
+                kept = replace(kept, numbers=new.sip.numbers, default_class=new.sip.default_class)
+                self.front.config = kept
+            if self.front.config != new.sip:
+                later.append("sip")
+        for name in ("name", "listen", "settings", "sockets", "memory_mb", "syslog"):
+            if getattr(new, name) != getattr(old, name):
+                later.append(name)
+        self.config = replace(
+            new, sip=self.front.config if self.front is not None else new.sip,
+            **{name: getattr(old, name) for name in later if name != "sip"},
+        )  # fmt: skip
+        self.counters.add("reloads")
+        at = time.strftime("%F %T", time.gmtime(self.clock()))
+        self.reloaded = at + (f", not taken over: {', '.join(later)}" if later else "")
+        where = f"{new.coordinator[0]}:{new.coordinator[1]}" if new.coordinator else "-"
+        self.log("reload", result="taken", coordinator=where, wants_restart=",".join(later) or "-")
+
+
+async def run(config: Config, reread: Callable[[], Config]) -> None:
     """Serve until SIGTERM, SIGINT or `drain`, then finish what was taken."""
-    clock = unix_clock()
-    log = Log("stairhatch", socket.gethostname(), clock, config.syslog)
-    counters = Counters()
-    core = Core(config.settings, random.Random(config.seed or None), clock, log, counters, config.tracing)
-    network = Network(core)
-    RosterSide(core, network.dial)
-    trunk, front = None, None
-    listening: list[str] = []
-    try:
-        if config.listen is not None:
-            trunk = TrunkFront(core)
-            network.listen(config.listen, trunk.connect, most=config.sockets // 2)
-            listening.append(f"{config.listen[0]}:{config.listen[1]}")
-        if config.sip is not None:
-            front = SipFront(core, config.sip, lambda: secrets.token_hex(8))
-            front.dial = network.dial_caller
-            if config.sip.udp is not None:
-                network.datagrams(config.sip.udp, front.datagrams)
-                listening.append(f"udp:{config.sip.udp[0]}:{config.sip.udp[1]}")
-            if config.sip.tcp is not None:
-                network.listen(config.sip.tcp, front.connect, most=config.sip.connections)
-                listening.append(f"tcp:{config.sip.tcp[0]}:{config.sip.tcp[1]}")
-    except OSError as error:
-        raise ConfigError(f"can't listen: {error.strerror}") from None
-    try:
-        after = apply_events(core, config.known, 0)
-    except DirectoryError as error:
-        raise ConfigError(str(error)) from None
-    if config.coordinator is not None:
-        host = f"{config.coordinator[0]}:{config.coordinator[1]}"
-        network.spawn(network.follow(Directory(core, host, after), config.coordinator))
+    service = Service(config, reread)
+    core, network, log, counters = service.core, service.network, service.log, service.counters
+    listening = service.listen()
+    service.follow()
     stop = asyncio.Event()
     for name in (signal.SIGTERM, signal.SIGINT):
         network.loop.add_signal_handler(name, stop.set)
+    network.loop.add_signal_handler(signal.SIGHUP, service.reload)
     network.loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", **counters.counts))
-    attach_console(network.loop, Console(core, stop.set))
-    log("ready", name=config.name, listen=",".join(listening))
+    attach_console(network.loop, Console(core, stop.set, lambda: service.reloaded))
+    log("ready", name=config.name, listen=listening)
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     await stop.wait()
     log("stopping", unanswered=core.unanswered)
-    for each in (trunk, front):
-        if each is not None:
-            each.draining = True
+    fronts = [each for each in (service.trunk, service.front) if each is not None]
+    for each in fronts:
+        each.draining = True
     await asyncio.sleep(STAY_S)
-    while core.unanswered or not all(each is None or each.flushed() for each in (trunk, front)):
+    while core.unanswered or not all(each.flushed() for each in fronts):
         await asyncio.sleep(0.01)
     await asyncio.sleep(0.05)  # what was handed to the sockets last is written
     log("counters", lines_left_out=log.left_out, **counters.counts)
@@ -230,9 +306,11 @@
     parser = argparse.ArgumentParser(prog="stairhatch", description="a small SIP softswitch")
     parser.add_argument("--sip", metavar="FILE", help="run as the appliance that this file describes")
     path = parser.parse_args().sip
+    environ = dict(os.environ)
+    reread = partial(read_appliance, path, environ) if path else partial(read_platform, environ)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what comes before the start is over is read anyway
     try:
-        config = read_appliance(path, dict(os.environ)) if path else read_platform(dict(os.environ))
-        uvloop.run(run(config))
+        uvloop.run(run(reread(), reread))
     except ConfigError as error:
         print(f"stairhatch: {error}", file=sys.stderr)
         return 2
--- a/stairhatch/node/console.py
+++ b/stairhatch/node/console.py
@@ -28,8 +28,10 @@
 class Console:
     """One terminal."""
 
-    def __init__(self, core: Core, drain: Callable[[], None]) -> None:
-        self.core, self.drain = core, drain
+    def __init__(
+        self, core: Core, drain: Callable[[], None], reloaded: Callable[[], str] = lambda: "never"
+    ) -> None:
+        self.core, self.drain, self.reloaded = core, drain, reloaded
         self.started = core.clock()
         self._data = b""
 
@@ -72,12 +74,17 @@
         connected = sum(server.connected for server in core.servers.values())
         counts = core.counters.counts
         named = ("answers_stood", "answers_refused", "answers_failed", "calls_given_up")
+        unusable = counts.get("requests_unusable", 0) + counts.get("malformed_from_callers", 0)
         stood, refused, failed, given_up = (counts.get(name, 0) for name in named)
         return (
             f"up {int(core.clock() - self.started)} s\n"
             f"calls      {setting_up} being set up, {standing} standing\n"
             f"answered   {stood} stood, {refused} refused, {failed} failed, {given_up} given up by callers\n"
             f"servers    {ready} of {len(core.servers)} in service, {connected} connected\n"
+            f"callers    {counts.get('connections_evicted', 0)} connections put out for others, "
+            f"{counts.get('connections_expired', 0)} ended as silent, "
+            f"{unusable} requests unusable\n"
+            f"reload     {self.reloaded()}\n"
         )
 
     def _servers(self) -> str:
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -23,7 +23,7 @@
 ANSWER_EARLY_S = 0.03  # attempts and calls end this long before the caller stops waiting
 BACKSTOP_S = 0.01  # what the decisions have left unanswered so long after that is failed
 PAUSE_MARGIN_S = 0.02  # added to the pause after an unclear end: the two roads differ in length
-REMEMBERED = 20_000  # ids of calls that are over, so that a late message for one is not taken for news
+REMEMBERED_S, REMEMBERED = 40.0, 20_000  # ids of calls that are over: a late message for one is no news
 ENDED, CUT, FULL, MOOT = 16, 41, 34, 102  # causes of a release
 ERRORS = (17, 47)
 
@@ -41,6 +41,20 @@
         self.wake: Callable[[], None] = idle  # there is something to write; set by the driver
         self.abort: Callable[[], None] = idle  # end the connection at once; set by the driver
         self.closing = False
+        self.asked = False  # a whole request has come on it
+
+    def owes(self) -> bool:
+        """Whether an answer is owed on this connection, so that it must not be closed."""
+        return False
+
+    def partial(self) -> bool:
+        """Whether a message has begun and its rest is awaited."""
+        return False
+
+    def expire(self) -> None:
+        """What was to come has not come in time: say so if that can be said, and end the connection."""
+        self.closing = True
+        self.wake()
 
     def done(self) -> bool:
         """Whether the connection may be closed once all is written."""
@@ -179,9 +193,10 @@
         self.side: ServerSide
         self.orphan: list[Callable[[str, int], None]] = []  # where releases of unknown calls go
         self.wake: Callable[[], None] = idle  # the earliest timer has changed
-        self._over: OrderedDict[str, None] = OrderedDict()
+        self._over: OrderedDict[str, float] = OrderedDict()  # id -> when it ended, the longest ago first
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count(1)
+        self._server_ids = count(1)
         self._events: deque[say.Event] = deque()
         self._telling = False
         self._instant = 0.0
@@ -224,8 +239,10 @@
         for line in lines:
             named.add(line.instance)
             server = self.by_instance.get(line.instance)
+            if server is None and line.standing is Standing.GONE:
+                continue  # it has been forgotten
             if server is None:
-                server = Server(len(self.servers) + 1, line)
+                server = Server(next(self._server_ids), line)
                 self.servers[server.id] = self.by_instance[line.instance] = server
             restarted = line.started_s > server.listing.started_s
             server.listing = line
@@ -244,6 +261,13 @@
                     self.side.listed(server)
         self._tell(say.ServersListed(tuple(told), complete))
 
+    def forget_server(self, server: Server) -> None:
+        """A server that is gone, and to which no link is left, has nothing to be known of any more."""
+        if server.listing.standing is Standing.GONE:
+            self.servers.pop(server.id, None)
+            if self.by_instance.get(server.listing.instance) is server:
+                del self.by_instance[server.listing.instance]
+
     @staticmethod
     def _line(server: Server) -> say.ListedServer:
         line = server.listing
@@ -316,6 +340,9 @@
 
     def release_unknown(self, ident: str, cause: int) -> None:
         """A caller ends a call from before a restart: only the roster servers know which of them holds it."""
+        if ident in self._over:
+            return  # it has ended here: the two releases crossed
+        self._remember(ident)
         self.counters.add("releases_of_unknown_calls")
         for server in self.servers.values():
             if server.listing.standing is not Standing.GONE:
@@ -366,6 +393,9 @@
         """A roster server says that the call stands."""
         call = self.by_ident.get(ident)
         attempt = call.attempt if call is not None else None
+        if call is None and ident not in self._over:
+            self.counters.add("answers_of_unknown_calls")  # none of ours: nothing to release
+            return
         if call is None or attempt is None or attempt.server is not server or not attempt.written:
             self.counters.add("late_answers")
             if self.tracing:
@@ -440,8 +470,10 @@
         return ident in self._over
 
     def _remember(self, ident: str) -> None:
-        self._over[ident] = None
-        if len(self._over) > REMEMBERED:
+        now = self.clock()
+        self._over[ident] = now
+        self._over.move_to_end(ident)
+        while len(self._over) > REMEMBERED or next(iter(self._over.values())) < now - REMEMBERED_S:
             self._over.popitem(last=False)
 
     def _final(self, call: Call, action: say.RefuseCall | say.FailCall) -> None:
--- a/stairhatch/node/directory.py
+++ b/stairhatch/node/directory.py
@@ -6,14 +6,17 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import httptools
 
 from stairhatch.interface import Standing
-from stairhatch.node.core import Core, Listing, Machine
+from stairhatch.node.core import Core, Listing, Machine, idle
 
-WAIT_MS = 5000
+WAIT_MS = 2000  # what is missed by a silent stop is asked for again so much sooner than with the longest wait
+WHOLE_S = WAIT_MS / 1000 + 0.7  # an answer that is not whole by then will not come on this connection
 MOST_BODY = 4 * 1024 * 1024
 STATES = {
     "in_service": Standing.READY,
@@ -44,43 +47,76 @@
     )
 
 
-def apply_events(core: Core, answer: Any, after: int) -> int:
-    """Tell the core what is new in an answer or in `known`; returns the number of the last event."""
+Change = tuple[int, list[Listing], bool]
+
+
+def read_events(answer: Any, after: int) -> tuple[int, list[Change]]:
+    """The number of the last event, and what is new in an answer or `known`; DirectoryError if it is odd."""
     try:
-        last = int(answer["index"])
+        last, changes = int(answer["index"]), []
         for event in answer["updates"]:
-            if int(event["index"]) <= after:
-                continue
-            told = event.get("endpoints")
-            if told is not None:
+            index, told = int(event["index"]), event.get("endpoints")
+            if index > after and told is not None:
                 lines = [_listing(raw) for raw in told["instances"]]
-                core.list_servers(lines, complete=bool(told.get("reset")) or after == 0)
-            after = int(event["index"])
+                changes.append((index, lines, bool(told.get("reset")) or after == 0))
+            after = max(after, index)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise DirectoryError(f"directory event: {type(error).__name__}: {error}") from None
-    return max(last, after)
+    return max(last, after), changes
+
+
+def apply_events(core: Core, answer: Any, after: int) -> int:
+    """Tell the core what is new; returns the number of the last event. An odd answer changes nothing."""
+    last, changes = read_events(answer, after)
+    for _, lines, complete in changes:
+        core.list_servers(lines, complete)
+    return last
 
 
 class Directory(Machine):
     """The subscription. A broken or odd answer ends the connection; the driver comes again."""
 
-    def __init__(self, core: Core, host: str, after: int) -> None:
+    def __init__(self, core: Core, address: tuple[str, int], after: int) -> None:
         super().__init__()
-        self.core, self.host, self.after = core, host, after
+        self.core, self.address, self.after = core, address, after
+        self.answers = 0
+        self.told_at = core.clock()  # when the last whole answer came
+        self.hurry: Callable[[], None] = idle  # come at once, set by the driver
+        self._asked = 0
         self._parser: Any = None
         self._output = b""
         self._body = bytearray()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Another coordinator goes on with the same numbers: leave the old one, whatever it still holds."""
+        self.address = address
+        self.abort()
+        self.hurry()
+
     def connected(self) -> None:
         """A connection has come up."""
         self.closing = False
         self._ask()
 
+    def _stalled(self, asked: int) -> None:
+        """No whole answer came in time.
+
+        Guards against a coordinator that stops, also in mid-event, and leaves the connection open: changes
+        count as told 2 s after the wait that was asked for.
+        """
+        if asked == self._asked and self._parser is not None:
+            self.core.counters.add("directory_stalls")
+            self.core.log("directory", why="no whole answer in time")
+            self.abort()
+
     def _ask(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._body.clear()
+        self._asked += 1
+        self.core.at(self.core.clock() + WHOLE_S, partial(self._stalled, self._asked))
         path = f"/v2/stream?follow={self.after}&wait_ms={WAIT_MS}"
-        self._output = f"GET {path} HTTP/1.1\r\nHost: {self.host}\r\n\r\n".encode()
+        host = f"{self.address[0]}:{self.address[1]}"
+        self._output = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
         self.wake()
 
     def pull(self) -> bytes:
@@ -94,6 +130,8 @@
 
     def receive(self, data: bytes | memoryview) -> None:
         """Bytes from the coordinator."""
+        if self.closing:
+            return
         try:
             self._parser.feed_data(bytes(data))
         except (httptools.HttpParserError, DirectoryError) as error:
@@ -120,6 +158,7 @@
             raise DirectoryError("answer is no JSON") from None
         keep = self._parser.should_keep_alive()
         self.after = apply_events(self.core, answer, self.after)
+        self.answers, self.told_at = self.answers + 1, self.core.clock()
         self.core.counters.add("directory_answers")
         if keep:
             self._ask()
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -1,6 +1,7 @@
 """The only file that does network I/O: owns sockets, the buffers they are read into (one size, from a pool)
 and the tasks that carry bytes to and from the state machines. It must never look into the bytes, and never
-let one slow peer hold up another: each connection has its own reader and writer.
+let one slow peer hold up another: each connection has its own reader and writer, and what was taken from
+callers is bounded in number and in the time that a message may take to come whole.
 """
 
 from __future__ import annotations
@@ -9,7 +10,9 @@
 import contextlib
 import errno
 import socket
+from collections import OrderedDict
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 from stairhatch.node.core import Core, Machine, idle
@@ -20,8 +23,13 @@
 BUFFER_BYTES = 16 * 1024
 CONNECT_S = 0.5
 FIRST_BACKOFF_S, LONGEST_BACKOFF_S = 0.05, 1.0
-SILENT_S = 8.0  # a long poll without a byte for so long is begun again
+LONGEST_POLL_BACKOFF_S = 0.5  # what the coordinator would have told counts as told 2 s after a break
 FLUSH_S = 1.0
+FIRST_S = 2.0  # a caller's first request must have come whole by then
+WHOLE_S = 2.0  # as must every further message, from its first byte
+SWEEP_S = 0.25  # how often these two are looked at
+YOUNG_S = 0.25  # a connection is not put out for others before it could have asked
+LINGER_S, LINGER_BYTES = 0.2, 256 * 1024  # what still comes is read after the last answer, so that it arrives
 
 
 Accept = Callable[[tuple[str, int]], Machine]
@@ -42,6 +50,19 @@
             self.free.append(buffer)
 
 
+@dataclass(eq=False, slots=True)
+class Taken:
+    """A connection taken from a caller."""
+
+    machine: Machine
+    since: float
+    last: float = 0.0  # when bytes last came
+    begun: float = 0.0  # since when the rest of a message is awaited; 0: it is not
+
+    def __post_init__(self) -> None:
+        self.last = self.since
+
+
 class Network:
     """The sockets of one softswitch."""
 
@@ -97,18 +118,17 @@
         return sock
 
     async def _accept(self, listener: socket.socket, accept: Accept, most: int) -> None:
-        count = 0
+        taken: OrderedDict[Taken, None] = OrderedDict()  # the longest idle comes first
 
-        async def serve(sock: socket.socket, peer: tuple[str, int]) -> None:
-            nonlocal count
-            count += 1
+        async def serve(sock: socket.socket, one: Taken) -> None:
             try:
-                await self._run(sock, accept(peer))
+                await self._run(sock, one.machine, one, taken)
             finally:
-                count -= 1
+                taken.pop(one, None)
 
+        self.spawn(self._sweep(taken))
         while True:
-            if count >= most:
+            if len(taken) >= most and not self._put_out(taken):
                 await asyncio.sleep(0.02)
                 continue
             try:
@@ -120,9 +140,47 @@
                 await asyncio.sleep(0.05)
                 continue
             self.core.counters.add("connections_taken")
-            self.spawn(serve(sock, peer))
+            one = Taken(accept(peer), self.loop.time())
+            taken[one] = None
+            self.spawn(serve(sock, one))
 
-    async def _run(self, sock: socket.socket, machine: Machine) -> None:
+    def _put_out(self, taken: OrderedDict[Taken, None]) -> bool:
+        """Make room for a newcomer: the longest idle goes that is owed no answer, silent ones first.
+
+        Guards against callers that connect and say nothing, or ask once and hold on, until no other can
+        connect. What was heard keeps its connection while a silent one can go.
+        """
+        old = self.loop.time() - YOUNG_S
+        idle_ones = [one for one in taken if one.last <= old and not one.machine.owes()]
+        one = next((one for one in idle_ones if not one.machine.asked), next(iter(idle_ones), None))
+        if one is None:
+            return False
+        del taken[one]
+        self.core.counters.add("connections_evicted")
+        one.machine.closing = True
+        one.machine.abort()
+        return True
+
+    async def _sweep(self, taken: OrderedDict[Taken, None]) -> None:
+        """End the connections whose first request, or the rest of a message, has not come in time."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = self.loop.time()
+            for one in list(taken):
+                machine = one.machine
+                late_first = not machine.asked and now - one.since > FIRST_S
+                if machine.closing or not (late_first or (one.begun and now - one.begun > WHOLE_S)):
+                    continue
+                self.core.counters.add("connections_expired")
+                machine.expire()
+
+    async def _run(
+        self,
+        sock: socket.socket,
+        machine: Machine,
+        one: Taken | None = None,
+        taken: OrderedDict[Taken, None] | None = None,
+    ) -> None:
         """Carry bytes both ways until either side ends."""
         sock.setblocking(False)
         with contextlib.suppress(OSError):
@@ -145,9 +203,17 @@
                 machine.receive(memoryview(buffer)[:size])
                 if machine.done():
                     await asyncio.wait([writer], timeout=FLUSH_S)
+                    await self._linger(sock, buffer)
                     break
+                if one is not None and taken is not None and one in taken:
+                    one.last = self.loop.time()
+                    one.begun = (one.begun or one.last) if machine.partial() else 0.0
+                    taken.move_to_end(one)
         except OSError:
             pass
+        except Exception as error:  # noqa: BLE001 - bytes that upset a machine must end their connection only
+            self.core.counters.add("connection_faults")
+            self.core.log("fault", why=f"{type(error).__name__}: {error}", machine=type(machine).__name__)
         finally:
             machine.wake, machine.abort = idle, idle
             writer.cancel()
@@ -157,6 +223,17 @@
             sock.close()
             machine.lost()
 
+    async def _linger(self, sock: socket.socket, buffer: bytearray) -> None:
+        """Read on for a moment: closed with bytes unread, the connection would be reset under our answer."""
+
+        async def discard() -> None:
+            left = LINGER_BYTES
+            while left > 0 and (size := await self.loop.sock_recv_into(sock, buffer)):
+                left -= size
+
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(discard(), LINGER_S)
+
     async def _write(
         self, sock: socket.socket, machine: Machine, wake: asyncio.Event, abort: Callable[[], None]
     ) -> None:
@@ -168,9 +245,14 @@
                 while data := machine.pull():
                     await self.loop.sock_sendall(sock, data)
                 if machine.done():
-                    break
+                    sock.shutdown(socket.SHUT_WR)
+                    self.loop.call_later(LINGER_S, abort)
+                    return
         except OSError:
             pass
+        except Exception as error:  # noqa: BLE001 - a machine's fault ends its connection only
+            self.core.counters.add("connection_faults")
+            self.core.log("fault", why=f"{type(error).__name__}: {error}", machine=type(machine).__name__)
         abort()
 
     async def _connect(self, address: tuple[str, int]) -> socket.socket:
@@ -262,31 +344,33 @@
                     await asyncio.wait_for(wanted.wait(), backoff)
                 backoff = min(LONGEST_BACKOFF_S, 2 * backoff)
                 continue
-            backoff = FIRST_BACKOFF_S
+            up_at = self.loop.time()
             link.connected()
             await self._run(sock, link)
+            if self.loop.time() - up_at > LONGEST_BACKOFF_S:
+                backoff = FIRST_BACKOFF_S
+            elif not link.retired:  # it broke as soon as it had come up
+                await asyncio.sleep(backoff)
+                backoff = min(LONGEST_BACKOFF_S, 2 * backoff)
         link.side.drop(link)
 
-    async def follow(self, directory: Directory, address: tuple[str, int]) -> None:
-        """Keep the long poll going."""
+    async def follow(self, directory: Directory) -> None:
+        """Keep the long poll going, wherever the coordinator is by now."""
         backoff = FIRST_BACKOFF_S
+        hurry = asyncio.Event()
+        directory.hurry = hurry.set
         while True:
+            hurry.clear()
+            answers = directory.answers
             try:
-                sock = await self._connect(address)
+                sock = await self._connect(directory.address)
             except (OSError, TimeoutError):
                 self.core.counters.add("directory_unreached")
             else:
-                answers = self.core.counters.counts.get("directory_answers", 0)
                 directory.connected()
-                running = self.loop.create_task(self._run(sock, directory))
-                seen = -1
-                while not running.done():
-                    await asyncio.wait([running], timeout=SILENT_S)
-                    now = self.core.counters.counts.get("directory_answers", 0)
-                    if now == seen and not running.done():
-                        directory.abort()
-                    seen = now
-                if self.core.counters.counts.get("directory_answers", 0) > answers:
-                    backoff = FIRST_BACKOFF_S
-            await asyncio.sleep(backoff)
-            backoff = min(LONGEST_BACKOFF_S, 2 * backoff)
+                await self._run(sock, directory)
+            if hurry.is_set() or directory.answers > answers:
+                backoff = FIRST_BACKOFF_S
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(hurry.wait(), backoff)
+            backoff = min(LONGEST_POLL_BACKOFF_S, 2 * backoff)
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -1,11 +1,13 @@
 """The side of the roster servers: owns one link to each of them and the JSON lines spoken there. A state
 machine that is fed bytes and hands bytes out; a set-up becomes bytes only when it is about to be written.
-It must never know a socket, never choose a server, and never give up a connection that has set-ups open.
+It must never know a socket, never choose a server, and never give up a connection that has set-ups open,
+unless something came on it that can't be read: no answer on it can be trusted from there on.
 """
 
 from __future__ import annotations
 
 import json
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +20,8 @@
 MOST_WAITING = 512  # set-ups that one link holds back; what comes beyond is not sent
 MOST_RELEASES = 8192
 PULLED = 64 * 1024  # bytes handed out at a time
+IDENT = re.compile(r"[0-9a-fA-F]{16}\Z")
+VERBS = ("PENDING", "STARTED", "FINISH", "FINISHED", "ECHO", "ECHOED", "LOAD")
 
 
 def start_line(ident: str, kind: str, key: str, description: str, left_ms: int) -> bytes:
@@ -94,6 +98,8 @@
             del self.links[link.server.id]
             if link.server.listing.standing is not Standing.GONE:
                 self.listed(link.server)  # it was listed again in the meantime
+            else:
+                self.core.forget_server(link.server)
 
 
 class RosterLink(Machine):
@@ -104,6 +110,7 @@
         self.side, self.server = side, server
         self.retired = False
         self.told_unreached = False
+        self.spoilt = False
         self.queue: deque[Attempt | bytes] = deque()
         self.open: dict[str, Attempt] = {}  # written here, not yet answered
         self.data = bytearray()
@@ -129,6 +136,7 @@
     def connected(self) -> None:
         """A connection has come up."""
         self.data.clear()
+        self.spoilt = False
         self.server.connected, self.told_unreached = True, False
         self.side.core.counters.add("roster_connections")
         self.side.core.log("reached", server=self.server.listing.instance)
@@ -159,7 +167,7 @@
     def pull(self) -> bytes:
         """What is to be written now."""
         core, out, size = self.side.core, [], 0
-        while self.queue and size < PULLED:
+        while self.queue and size < PULLED and not self.spoilt:
             item = self.queue.popleft()
             if isinstance(item, Attempt):
                 left_ms = core.may_write(item)
@@ -175,35 +183,54 @@
 
     def receive(self, data: bytes | memoryview) -> None:
         """Bytes from the roster server."""
+        if self.spoilt:
+            return
         self.data += data
         start = 0
-        while (end := self.data.find(b"\n", start)) >= 0:
+        while not self.spoilt and (end := self.data.find(b"\n", start)) >= 0:
             line = bytes(self.data[start:end])
             start = end + 1
             if line.strip():
                 self._line(line)
         del self.data[:start]
-        if len(self.data) > MOST_LINE:  # kept from growing; the rest of the line fails to parse
-            self.data.clear()
-            self.side.core.counters.add("malformed_from_servers")
+        if len(self.data) > MOST_LINE:
+            self._spoil("a line without end")
+
+    def _spoil(self, why: str) -> None:
+        """What came can't be read: end the connection, so that all set-ups open on it get their outcome now.
+
+        Guards against answers that never come: behind one that is spoilt, those to other set-ups are not
+        to be had either, and their callers waited until their time was over.
+        """
+        core = self.side.core
+        self.spoilt = True
+        self.data.clear()
+        core.counters.add("malformed_from_servers")
+        instance = self.server.listing.instance
+        core.log("malformed", side="server", server=instance, why=why, open=len(self.open))
+        self.abort()
 
     def _line(self, line: bytes) -> None:
         core = self.side.core
         try:
-            message = json.loads(line)
-            verb, ident = message.get("verb"), str(message.get("tag", ""))
+            if len(line) > MOST_LINE:
+                raise ValueError("longer than 16 KiB")
+            message = json.loads(line.decode())
+            verb, ident = message.get("verb"), message.get("tag", "")
             opts = message.get("opts") or {}
             report = parse_load(str(opts.get("load", "")))
             note = str(opts.get("note", ""))
             cause = int(message.get("rc") or 0)
-            blob = message.get("blob", "")
-            if not isinstance(blob, str) or len(line) > MOST_LINE:
-                raise ValueError("blob")
-        except (ValueError, AttributeError, TypeError):
-            core.counters.add("malformed_from_servers")
-            core.log("malformed", side="server", server=self.server.listing.instance)
+            blob = message.get("blob") if verb == "STARTED" else ""
+            if not isinstance(verb, str) or not isinstance(blob, str):
+                raise ValueError("verb or blob")
+            blob.encode()  # half a pair of surrogates can't be passed on
+            if verb in ("STARTED", "FINISH") and not (isinstance(ident, str) and IDENT.match(ident)):
+                raise ValueError("tag")
+        except (ValueError, AttributeError, TypeError, OverflowError, RecursionError) as error:
+            self._spoil(f"{type(error).__name__}: {str(error)[:80]}")
             return
-        core.counters.add(f"got_{verb}")
+        core.counters.add(f"got_{verb if verb in VERBS else 'other_verb'}")
         if verb == "STARTED":
             core.load_told(self.server, report)
             self.open.pop(ident, None)
--- a/stairhatch/node/sip.py
+++ b/stairhatch/node/sip.py
@@ -90,7 +90,7 @@
     def cseq(self) -> tuple[int, str]:
         """Number and method of CSeq; (-1, "") where it is malformed."""
         number, _, method = self.get("cseq").partition(" ")
-        if not number.isascii() or not number.isdigit() or int(number) >= 2**31:
+        if not number.isascii() or not number.isdigit() or len(number) > 10 or int(number) >= 2**31:
             return -1, ""
         return int(number), method.strip()
 
@@ -148,7 +148,7 @@
     if not TOKEN.match(name):
         return ""
     name = COMPACT.get(name, name)
-    if len(_names) < 512:
+    if len(_names) < 512 and len(written) <= 64:  # names made up by the thousand must not pile up here
         _names[written] = name
     return name
 
@@ -266,6 +266,15 @@
         self._message = None
         return message
 
+    @property
+    def begun(self) -> Message | None:
+        """The request whose body is still awaited."""
+        return self._message
+
+    def partial(self) -> bool:
+        """Whether a message has begun and its rest is awaited."""
+        return self._message is not None or bool(self._data.strip(b"\r\n"))
+
     def _next_head(self) -> bool:
         if not self._data:
             return False
--- a/stairhatch/node/sip_front.py
+++ b/stairhatch/node/sip_front.py
@@ -26,6 +26,7 @@
 MOST_OUTPUT = 256 * 1024  # of a connection; one that reads so much too slowly is cut off
 MOST_DATAGRAMS = 4096  # waiting to be sent
 ALLOW = ("allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
+METHODS = ("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS")
 MEDIA = "application/sdp"
 MAGIC = "z9hG4bK"
 Address = tuple[str, int]
@@ -132,6 +133,21 @@
         self.output: list[bytes] = []
         self.size = 0
         self.parser = sip.StreamParser()
+        self.owed: set[tuple[str, ...]] = set()  # transactions that await their final answer here
+
+    def owes(self) -> bool:
+        """Whether a final answer is owed on it, or one waits to be written."""
+        return bool(self.owed or self.output)
+
+    def partial(self) -> bool:
+        """Whether the rest of a message is awaited."""
+        return self.parser.partial()
+
+    def expire(self) -> None:
+        """A message has not come whole in time: its request is answered, if its head could be read."""
+        if (begun := self.parser.begun) is not None:
+            self.front.malformed(self, sip.SipError(408, "the rest of a message never came", begun))
+        super().expire()
 
     def send(self, data: bytes) -> None:
         self.output.append(data)
@@ -144,9 +160,12 @@
 
     def receive(self, data: bytes | memoryview) -> None:
         """Bytes from the peer. After a malformed message the stream can't be followed and is closed."""
+        if self.closing:
+            return
         self.parser.feed(data)
         try:
-            while (message := self.parser.next()) is not None:
+            while not self.closing and (message := self.parser.next()) is not None:
+                self.asked = True
                 self.front.receive(self, message)
         except sip.SipError as error:
             self.front.malformed(self, error)
@@ -162,7 +181,8 @@
     def lost(self) -> None:
         """The connection has ended. Calls and dialogs live on: they are reached another way."""
         self.alive = False
-        self.front.connections.pop(self.peer, None)
+        if self.front.connections.get(self.peer) is self:  # the peer may have come again
+            del self.front.connections[self.peer]
         self.front.core.counters.add("connections_lost")
 
 
@@ -246,7 +266,8 @@
 
     def receive(self, flow: Flow, message: sip.Message) -> None:
         """One message, on any transport."""
-        self.core.counters.add(f"got_{message.method or 'response'}")
+        kind = message.method if message.method in METHODS else "other" if message.method else "response"
+        self.core.counters.add(f"got_{kind}")  # a name made up by a caller is no counter
         if not message.method:
             self._response(message)
             return
@@ -324,6 +345,10 @@
         """A request sent again: the same transaction, the same answer, no new call."""
         self.core.counters.add("retransmissions")
         if flow.reliable or not known.flow.alive:
+            if isinstance(known.flow, SipConnection) and known.key in known.flow.owed:
+                known.flow.owed.discard(known.key)
+                if isinstance(flow, SipConnection):
+                    flow.owed.add(known.key)
             known.flow = flow
         if known.last and known.state != "confirmed":
             known.flow.send(known.last)
@@ -331,6 +356,8 @@
     def _new(self, flow: Flow, message: sip.Message, key: tuple[str, ...]) -> None:
         method = message.method
         transaction = self.transactions[key] = Transaction(key, message, flow)
+        if isinstance(flow, SipConnection):
+            flow.owed.add(key)
         required = message.all("require") if method != "CANCEL" else []
         if not message.uri.lower().startswith(("sip:", "sips:")):
             self.final(transaction, 416, [])
@@ -407,7 +434,7 @@
             return
         if self.core.was_over(ident):  # a copy that comes after its call has ended
             self.core.counters.add("retransmissions")
-            del self.transactions[transaction.key]
+            self._forget(transaction)
             return
         leg = transaction.leg = Leg(self, transaction, ident, self.token())
         self.merged[merged] = transaction
@@ -586,6 +613,8 @@
         if status > 100:
             tag = tag or (transaction.leg.tag if transaction.leg is not None else self.token())
             headers = list(_with_tag(headers, tag))
+        if status >= 200 and isinstance(transaction.flow, SipConnection):
+            transaction.flow.owed.discard(transaction.key)
         transaction.last = sip.response(status, headers + extra, body)
         self.core.counters.add(f"sent_{status}")
         if self.core.tracing:
@@ -635,6 +664,8 @@
         """The transaction is over."""
         if self.transactions.get(transaction.key) is transaction:
             del self.transactions[transaction.key]
+        if isinstance(transaction.flow, SipConnection):
+            transaction.flow.owed.discard(transaction.key)
         transaction.state = "over"
         message = transaction.request
         if message.method == "INVITE":
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -5,28 +5,39 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import dataclass
+import re
+from dataclasses import dataclass, field
+from functools import partial
 
 from stairhatch.node import roster, sip
 from stairhatch.node.core import ENDED, Call, Core, Machine, Offer
 
-MOST_OUTPUT = 512 * 1024  # a caller that reads so much too slowly is cut off
+MOST_OUTPUT = 128 * 1024  # a caller that reads so much too slowly is cut off
 RELEASE_KEPT_S = 30.0  # how long a release waits for a caller to connect
-RESENT_S = 2.0  # a release is sent again if its connection ends unheard within this time
+HEARD_S = 0.3  # a release that is not heard within this time goes on another connection
+MOST_TRIES = 4
+MOST_RELEASES = 8192  # not heard yet
+MOST_FAULTS = 8  # a connection with so many requests that can't be used is ended
+PATIENCE_SLACK = 1.5  # Answer-Within may be so many times the class's limit; no caller waits longer
 ALLOW = "INVITE, ACK, CANCEL, BYE, OPTIONS, NOTIFY"
+METHODS = ("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS", "NOTIFY")
+IDENT = re.compile(r"[0-9a-fA-F]{16}\Z")  # what names a call, on both sides
+WITHIN = re.compile(r"[0-9]{1,8}\Z")
+NUMBER = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")
+FIGURES = {"dest": (-1, 65535), "width": (1, 1024), "via": (-1, 65535), "again": (0, 1)}
 
 
 def routing_choice(text: str) -> int:
-    """The server of first choice in Routing-Data; -1 if it names none."""
-    for piece in text.split(";"):
+    """The server of first choice in Routing-Data; -1 if it names none. ValueError if a figure is none."""
+    choice = -1
+    for piece in filter(None, text.split(";")):
         name, _, value = piece.partition(":")
+        least, most = FIGURES.get(name.strip(), (-1e9, 1e9))
+        if not NUMBER.match(value.strip()) or not least <= float(value) <= most:
+            raise ValueError(f"Routing-Data: {name[:20]}")
         if name.strip() == "dest":
-            try:
-                return int(float(value))
-            except ValueError:
-                return -1
-    return -1
+            choice = int(float(value))
+    return choice
 
 
 def called_number(key: str) -> int:
@@ -46,36 +57,78 @@
     return ENDED
 
 
+@dataclass(eq=False, slots=True)
+class Release:
+    """A release that its caller has not heard yet."""
+
+    cause: int
+    since: float
+    tried: list[TrunkConnection] = field(default_factory=list)
+
+
 class TrunkFront:
-    """All connections of callers, and the releases that await one."""
+    """All connections of callers, and the releases that have not been heard."""
 
     def __init__(self, core: Core) -> None:
         self.core = core
         self.classes = {kind.name: index for index, kind in enumerate(core.settings.classes)}
         self.connections: dict[TrunkConnection, None] = {}  # the last that spoke comes last
         self.calls: dict[str, TrunkCall] = {}
-        self.pending: deque[tuple[float, str, int]] = deque(maxlen=4096)
+        self.releases: dict[str, Release] = {}
         self.draining = False
         self.branch = 0
         core.orphan.append(self.release)
 
     def connect(self, peer: tuple[str, int] = ("", 0)) -> TrunkConnection:
-        """A caller has connected."""
+        """A caller has connected. Releases that found no connection at all go to it."""
         connection = TrunkConnection(self)
         self.connections[connection] = None
-        while self.pending:
-            since, ident, cause = self.pending.popleft()
-            if self.core.clock() - since < RELEASE_KEPT_S:
-                connection.bye(ident, cause)
+        for ident, release in list(self.releases.items()):
+            if not release.tried:
+                self._tell(ident, release, connection)
         return connection
 
-    def release(self, ident: str, cause: int) -> None:
-        """Tell the callers that a call is over, on the connection that spoke last."""
+    def release(self, ident: str, cause: int, own: TrunkConnection | None = None) -> None:
+        """Tell the caller that a call is over: on the call's own connection while that is open."""
         self.calls.pop(ident, None)
-        if self.connections:
-            next(reversed(self.connections)).bye(ident, cause)
+        if len(self.releases) >= MOST_RELEASES:
+            self.releases.pop(next(iter(self.releases)))
+            self.core.counters.add("releases_unheard")
+        release = self.releases[ident] = Release(cause, self.core.clock())
+        self._tell(ident, release, own)
+
+    def _tell(self, ident: str, release: Release, first: TrunkConnection | None = None) -> None:
+        """Send a release, and again on another connection until it is heard.
+
+        Guards against callers that hold a connection and read no release on it: what spoke last may be one
+        that asks once, and 161 ends of calls were told to such alone (churn).
+        """
+        now = self.core.clock()
+        if now - release.since > RELEASE_KEPT_S or len(release.tried) >= MOST_TRIES:
+            self.releases.pop(ident, None)
+            self.core.counters.add("releases_unheard")
+            return
+        connection = first if first in self.connections else self._listener(release)
+        if connection is not None:
+            release.tried.append(connection)
+            connection.bye(ident, release.cause)
+            self.core.at(now + HEARD_S, partial(self._check, ident, release, len(release.tried)))
         else:
-            self.pending.append((self.core.clock(), ident, cause))
+            release.tried.clear()  # the next connection gets it
+            self.core.at(now + RELEASE_KEPT_S, partial(self._check, ident, release, 0))
+
+    def _check(self, ident: str, release: Release, tries: int) -> None:
+        if self.releases.get(ident) is release and len(release.tried) == tries:
+            self._tell(ident, release)
+
+    def _listener(self, release: Release) -> TrunkConnection | None:
+        """The connection most likely to be read: one that has heard a release, or asked most, and lately."""
+        best, found = (-1, -1), None
+        for connection in self.connections:  # of equals the one that spoke last
+            value = (connection.heard, min(connection.requests, 8))
+            if not connection.closing and connection not in release.tried and value >= best:
+                best, found = value, connection
+        return found or next((c for c in reversed(release.tried) if c in self.connections), None)
 
     def flushed(self) -> bool:
         """Whether all output has been handed to the driver."""
@@ -109,7 +162,7 @@
 
     def released(self, cause: int) -> None:
         self.call = None
-        self.connection.front.release(self.request.get("call-id"), cause)
+        self.connection.front.release(self.request.get("call-id"), cause, self.connection)
 
 
 class TrunkConnection(Machine):
@@ -121,16 +174,38 @@
         self.output: list[bytes] = []
         self.size = 0
         self.open: dict[str, TrunkCall] = {}  # set-ups without a final answer
-        self.byes: dict[str, tuple[float, int]] = {}  # releases not yet heard
+        self.byes: set[str] = set()  # releases sent here and not yet heard
+        self.requests = 0
+        self.heard = 0  # 1 once a release was heard on it
+        self.faults = 0  # requests that could not be used
         self.parser = sip.StreamParser()
 
+    def owes(self) -> bool:
+        """Whether a set-up is open on it, or an answer waits to be written."""
+        return bool(self.open or self.output)
+
+    def partial(self) -> bool:
+        """Whether the rest of a message is awaited."""
+        return self.parser.partial()
+
+    def expire(self) -> None:
+        """A message has not come whole in time: its request is answered, if its head could be read."""
+        begun = self.parser.begun
+        if begun is not None and begun.method not in ("", "ACK"):
+            self.respond(begun, 408, [])
+        super().expire()
+
     def receive(self, data: bytes | memoryview) -> None:
         """Bytes from the caller."""
         front = self.front
+        if self.closing:
+            return
         front.connections[self] = front.connections.pop(self, None)
         self.parser.feed(data)
         try:
-            while (message := self.parser.next()) is not None:
+            while not self.closing and (message := self.parser.next()) is not None:
+                self.asked = True
+                self.requests += 1
                 self._message(message)
         except sip.SipError as error:
             front.core.counters.add("malformed_from_callers")
@@ -156,9 +231,10 @@
             if held.call is not None:
                 front.core.caller_left(held.call)
         self.open.clear()
-        for ident, (since, cause) in self.byes.items():
-            if front.core.clock() - since < RESENT_S:
-                front.release(ident, cause)
+        for ident in self.byes:
+            release = front.releases.get(ident)
+            if release is not None and release.tried and release.tried[-1] is self:
+                front._tell(ident, release)
         self.byes.clear()
 
     def respond(self, request: sip.Message, status: int, extra: sip.Headers, body: bytes = b"") -> None:
@@ -169,10 +245,7 @@
     def bye(self, ident: str, cause: int) -> None:
         """Queue a release."""
         front = self.front
-        now = front.core.clock()
-        for old in [key for key, (since, _) in self.byes.items() if now - since >= RESENT_S]:
-            del self.byes[old]
-        self.byes[ident] = (now, cause)
+        self.byes.add(ident)
         front.branch += 1
         front.core.counters.add("sent_BYE")
         headers = [
@@ -196,11 +269,19 @@
 
     def _message(self, message: sip.Message) -> None:
         front, ident = self.front, message.get("call-id")
-        front.core.counters.add(f"got_{message.method or 'response'}")
-        match message.method:
+        method = message.method
+        known = method in METHODS
+        kind = method if known else "other" if method else "response"
+        front.core.counters.add(f"got_{kind}")  # a name made up by a caller is no counter
+        if known and not self._usable(message, ident):
+            self._unusable(message, 400)
+            return
+        match method:
             case "":
-                if message.cseq()[1] == "BYE":
-                    self.byes.pop(ident, None)
+                if message.cseq()[1] == "BYE" and ident in self.byes:
+                    self.byes.discard(ident)
+                    self.heard = 1
+                    front.releases.pop(ident, None)
             case "INVITE":
                 self._invite(message, ident)
             case "CANCEL":
@@ -212,8 +293,9 @@
             case "BYE":
                 held = front.calls.pop(ident, None)
                 if held is not None and held.call is not None:
+                    held.connection.open.pop(ident, None)
                     front.core.caller_released(held.call, release_cause(message))
-                else:
+                elif front.releases.pop(ident, None) is None:
                     front.core.release_unknown(ident, release_cause(message))
                 self.respond(message, 200, [])
             case "OPTIONS":
@@ -221,38 +303,62 @@
             case "ACK" | "NOTIFY":
                 pass
             case _:
-                self.respond(message, 405, [("allow", ALLOW)])
+                self._unusable(message, 405, [("allow", ALLOW)])
+
+    @staticmethod
+    def _usable(message: sip.Message, ident: str) -> bool:
+        """Whether a request names its call in a form that a roster server can read."""
+        if message.method in ("OPTIONS", "NOTIFY", "ACK"):
+            return True
+        names = [name for name, _ in message.headers]
+        twice = any(names.count(name) > 1 for name in ("call-id", "call-kind", "answer-within", "cseq"))
+        return IDENT.match(ident) is not None and not twice and message.cseq()[1] == message.method
+
+    def _unusable(self, message: sip.Message, status: int, extra: sip.Headers | None = None) -> None:
+        """Answer a request that can't be used; a connection that brings only such is ended."""
+        self.faults += 1
+        self.front.core.counters.add("requests_unusable")
+        self.respond(message, status, extra or [])
+        if self.faults >= MOST_FAULTS and not self.open:
+            self.front.core.counters.add("faulty_callers_cut")
+            self.closing = True
+            self.wake()
 
     def _invite(self, message: sip.Message, ident: str) -> None:
-        """A set-up. One that can't be understood is answered at once."""
+        """A set-up. One that can't be understood, or no roster server could read, is answered at once."""
         front = self.front
         kind = front.classes.get(message.get("call-kind"))
         within = message.get("answer-within")
         key = sip.user_of(message.uri)
         try:
-            description = message.body.decode("utf-8", "surrogateescape")
-            patience_s = int(within) / 1000
+            description = message.body.decode()  # what is no UTF-8 would be no JSON either
+            key.encode()
+            patience_s = int(within) / 1000 if WITHIN.match(within) else 0.0
+            choice = routing_choice(message.get("routing-data"))
         except ValueError:
-            kind = None
-        if not ident or kind is None:
-            self.respond(message, 400, [])
+            kind, patience_s = None, 0.0
+        if kind is None or not key:
+            self._unusable(message, 400)
+            return
+        if not 0 < patience_s <= PATIENCE_SLACK * front.core.settings.classes[kind].deadline_s:
+            self._unusable(message, 400)
             return
         if roster.too_long(ident, message.get("call-kind"), key, description):
-            self.respond(message, 413, [])
+            self._unusable(message, 413)
+            return
+        if ident in front.calls or front.core.was_over(ident):
+            self._unusable(message, 482)  # every set-up has an id of its own, a repeat too
             return
         offer = Offer(
             ident=ident,
             kind=kind,
             key=key,
             description=description,
-            patience_s=max(0.0, patience_s),
-            choice=routing_choice(message.get("routing-data")),
+            patience_s=patience_s,
+            choice=choice,
             called=called_number(key),
             redial=message.get("repeat-mark") == "1",
         )
-        if ident in front.calls:
-            self.respond(message, 482, [])
-            return
         held = TrunkCall(self, message)
         message.body = b""  # not needed any more
         front.calls[ident] = self.open[ident] = held
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import random
@@ -138,6 +139,7 @@
         first = {"index": 1, "endpoints": {"generation": 1, "reset": True, "instances": list(lines)}}
         self.events = [first]
         self.asked: list[int] = []
+        self.spoil: list[str] = []  # what becomes of the next answers: "break" or "stop" within them
         self.changed = threading.Condition()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
@@ -173,8 +175,13 @@
                 later = self.events[after:]
             body = json.dumps({"index": after + len(later), "updates": later}).encode()
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+            spoil = self.spoil.pop(0) if later and self.spoil else ""
             try:
-                link.sendall(head + body)
+                link.sendall((head + body)[: -20 if spoil else None])
+                if spoil == "break":
+                    link.shutdown(socket.SHUT_RDWR)
+                if spoil:
+                    continue
             except OSError:
                 return
 
@@ -243,6 +250,11 @@
         """Answer a request of the program's."""
         self.sock.sendall(sip.response(status, sip.echoed(request)))
 
+    def raw(self, data: bytes) -> None:
+        """Send bytes as they are; a connection that has been ended takes none."""
+        with contextlib.suppress(OSError):
+            self.sock.sendall(data)
+
     def close(self) -> None:
         """End the connection."""
         self.sock.shutdown(socket.SHUT_RDWR)
@@ -265,6 +277,7 @@
     """The real program, started as the deploy file does."""
 
     def __init__(self, folder: Path, *arguments: str, **environ: str) -> None:
+        self.path = folder  # of the configuration, once there is one
         self.log = folder / f"log-{time.monotonic_ns()}.txt"
         env = {**os.environ, "STAIRHATCH_TRACE": "1", "TMPDIR": str(folder), **environ}
         with self.log.open("wb") as file:
@@ -274,18 +287,23 @@
             )  # fmt: skip
 
     @classmethod
-    def on_platform(cls, folder: Path, coordinator: Coordinator, settings: dict | None = None) -> Program:
+    def on_platform(
+        cls, folder: Path, coordinator: Coordinator, settings: dict | None = None, sockets: int = 1024
+    ) -> Program:
         """Start it with the platform's configuration."""
         port = free_port()
         config = {
-            "name": "n0", "listen": f"127.0.0.1:{port}", "seed": "1", "limits": {"sockets": 1024},
+            "name": "n0", "listen": f"127.0.0.1:{port}", "seed": "1", "limits": {"sockets": sockets},
             "coordinator": f"127.0.0.1:{coordinator.port}", "known": coordinator.known(),
             "settings": settings or SETTINGS,
         }  # fmt: skip
         path = folder / "config.json"
         path.write_text(json.dumps(config))
         program = cls(folder, RELAY_CONFIG=str(path)).ready(port)
-        return program or cls.on_platform(folder, coordinator, settings)
+        if program is None:
+            return cls.on_platform(folder, coordinator, settings, sockets)
+        program.path = path
+        return program
 
     @classmethod
     def as_appliance(cls, folder: Path, *servers: RosterServer, syslog: str = "") -> Program:
@@ -301,7 +319,10 @@
         path = folder / "sip.toml"
         path.write_text(text)
         program = cls(folder, "--sip", str(path)).ready(port)
-        return program or cls.as_appliance(folder, *servers, syslog=syslog)
+        if program is None:
+            return cls.as_appliance(folder, *servers, syslog=syslog)
+        program.path = path
+        return program
 
     address: tuple[str, int] = ("", 0)
 
@@ -313,6 +334,15 @@
         assert taken or self.process.poll() is None, self.text()
         return None if taken else self
 
+    def reload(self, text: str) -> dict[str, str]:
+        """Replace its configuration and send SIGHUP; returns the line that tells what came of it."""
+        before = len(self.lines("reload"))
+        self.path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+        until(lambda: len(self.lines("reload")) > before or self.process.poll() is not None, "the reload")
+        assert self.process.poll() is None, self.text()
+        return self.lines("reload")[-1]
+
     def text(self) -> str:
         """Its log."""
         return self.log.read_text()
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,375 @@
+"""Stories of service: new configurations, a coordinator that fails, callers and roster servers that do harm.
+Each guards against one failure that the days in service showed, or that was found in reading.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+
+from stairhatch.interface import Standing
+from stairhatch.node import sip
+from stairhatch.node.core import REMEMBERED_S, Core, Counters, Listing
+from stairhatch.node.directory import WHOLE_S, Directory
+from stairhatch.node.roster import RosterSide
+from stairhatch.node.trunk_front import TrunkFront
+from stairhatch.settings import settings_from
+
+from .peers import SETTINGS, Caller, Coordinator, Inside, Program, RosterServer, instance, until
+
+IDS = iter(f"{n:016x}" for n in range(0x5E0001, 0x5E9999))
+SILENT = RosterServer.silent
+
+
+@pytest.fixture
+def stage(tmp_path):
+    """Starts a program before roster servers with the given scripts; ends all of it afterwards."""
+    started = []
+
+    def start(*scripts, sockets=1024):
+        servers = [RosterServer(script) for script in scripts]
+        lines = [instance(f"s-{cell}", each.port, cell) for cell, each in enumerate(servers)]
+        coordinator = Coordinator(*lines)
+        program = Program.on_platform(tmp_path, coordinator, sockets=sockets)
+        started.append(program)
+        return program, coordinator, servers
+
+    start.started = started
+    yield start
+    for program in started:
+        program.kill()
+
+
+def served(program):
+    """A new caller's call stands."""
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident)
+    caller.expect(ident, 200)
+    return caller
+
+
+# ---- new configurations ----
+
+
+def test_a_reload_moves_to_the_new_coordinator_and_keeps_the_number(stage):
+    """Guards against a softswitch that ends on SIGHUP, stays with the old coordinator or begins anew."""
+    program, old, (server,) = stage(None)
+    other = RosterServer()
+    new = Coordinator()
+    new.events = list(old.events)
+    config = json.loads(program.path.read_text())
+    line = program.reload(json.dumps({**config, "coordinator": f"127.0.0.1:{new.port}"}))
+    assert line["result"] == "taken" and line["wants_restart"] == "-"
+    new.tell(instance("s-0", server.port, 0, "terminating"), instance("s-1", other.port, 1))
+    assert new.asked[0] == 1, "the number of the last event was not kept"
+    served(program)
+    assert other.of("START") and not server.of("START")
+
+
+ODD = {"index": 1, "updates": [{"index": 1}, 5]}
+
+
+@pytest.mark.parametrize("change", ["{", {"coordinator": "nowhere"}, {"settings": {}}, {"known": ODD}])
+def test_a_configuration_that_cannot_be_used_changes_nothing(stage, change):
+    """Guards against one mistyped file taking down what serves."""
+    program, coordinator, (server,) = stage(None)
+    text = program.path.read_text()
+    bad = change if isinstance(change, str) else json.dumps({**json.loads(text), **change})
+    assert program.reload(bad)["result"] == "refused"
+    other = RosterServer()
+    coordinator.tell(instance("s-0", server.port, 0, "terminating"), instance("s-1", other.port, 1))
+    served(program)
+    assert other.of("START")
+    assert program.reload(text)["result"] == "taken"
+
+
+def test_a_reload_says_what_wants_a_restart(stage):
+    """Guards against an operator who believes that a change has been taken over."""
+    program, _, _ = stage(None)
+    config = json.loads(program.path.read_text())
+    config["settings"] = {**config["settings"], "balancers": 9}
+    line = program.reload(json.dumps({**config, "listen": "127.0.0.1:1"}))
+    assert line["wants_restart"] == "listen,settings"
+    served(program)
+
+
+def test_the_appliance_reloads_its_servers_and_numbers(tmp_path, stage):
+    """Guards against a small site that must end its calls to change a prefix or a roster server."""
+    one, two = RosterServer(), RosterServer()
+    program = Program.as_appliance(tmp_path, one, one)
+    stage.started.append(program)
+    text = program.path.read_text().replace(f"127.0.0.1:{one.port}", f"127.0.0.1:{two.port}")
+    text = text.replace('"roster-a"', '"roster-c"').replace('"roster-b"', '"roster-d"')
+    assert program.reload(text.replace('prefix = "7"', 'prefix = "8"'))["result"] == "taken"
+    caller = Caller(program.address, udp=True)
+    headers = {
+        "via": f"SIP/2.0/UDP {caller.host};branch=z9hG4bKr", "from": "<sip:a@net>;tag=1",
+        "to": "<sip:812@net>", "call-id": "r", "cseq": "1 INVITE", "contact": f"<sip:a@{caller.host}>",
+    }  # fmt: skip
+    caller.send("INVITE", "sip:812@net", headers)
+    caller.expect("r", 200)
+    assert two.of("START")[0]["opts"]["class"] == "save-roster" and not one.of("START")
+
+
+# ---- the coordinator ----
+
+
+@pytest.mark.parametrize("spoil", ["break", "stop"])
+def test_an_answer_cut_short_is_asked_for_again(stage, spoil):
+    """Guards against changes that are never heard: a coordinator breaks off in mid-event, or stops there and
+    leaves the connection open.
+    """
+    program, coordinator, (server,) = stage(None)
+    other = RosterServer()
+    coordinator.spoil = [spoil, spoil]
+    coordinator.tell(instance("s-0", server.port, 0, "terminating"), instance("s-1", other.port, 1))
+    assert coordinator.asked.count(1) >= 3, "the number moved on before the event was whole"
+    served(program)
+    assert other.of("START")
+
+
+def test_a_silent_coordinator_is_left_within_the_time_that_changes_count_as_told():
+    """Guards against waiting longer than 2 s after the end of the wait that was asked for."""
+    inside = Inside()
+    directory, aborted = Directory(inside.core, ("127.0.0.1", 1), 4), []
+    directory.abort = lambda: aborted.append(inside.now)
+    directory.connected()
+    assert b"follow=4" in directory.pull()
+    body = b'{"index":4,"updates":[]}'
+    inside.run(WHOLE_S - 0.1)
+    directory.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+    inside.run(WHOLE_S - 0.1)
+    assert not aborted, "a whole answer begins the wait anew"
+    inside.run(0.2)
+    assert aborted
+
+
+# ---- callers that do harm ----
+
+
+@pytest.mark.parametrize("asks", [False, True], ids=["silent", "asks once and holds on"])
+def test_callers_that_hold_connections_shut_out_no_other(stage, asks):
+    """Guards against a limit on connections that is filled by those who want nothing more. What is owed an
+    answer keeps its connection.
+    """
+    program, _, (server,) = stage(SILENT, sockets=32)
+    waiting, ident = program.caller(), next(IDS)
+    waiting.invite(ident)
+    until(lambda: server.of("START"))
+    crowd = []
+    for _ in range(60):
+        crowd.append(program.caller())
+        if asks:
+            crowd[-1].send("OPTIONS", "sip:ping@net", {"call-id": "p", "cseq": "1 OPTIONS"})
+    newcomer, other = program.caller(), next(IDS)
+    newcomer.invite(other)
+    until(lambda: len(server.of("START")) == 2, "the newcomer's set-up")
+    for each in (ident, other):
+        server.say("STARTED", each, blob="d")
+    newcomer.expect(other, 200)
+    waiting.expect(ident, 200)
+
+
+HEAD = b"INVITE sip:1@net SIP/2.0\r\nCall-ID: x\r\nVia: SIP/2.0/TCP a\r\nFrom: <sip:a@b>;tag=1\r\n"
+HEAD += b"To: <sip:1@net>\r\nCSeq: 1 INVITE\r\nContent-Length: 50\r\n"
+
+
+@pytest.mark.parametrize("front", ["platform", "appliance"])
+@pytest.mark.parametrize(("data", "status"), [(b"", 0), (HEAD, 0), (HEAD + b"\r\nhalf", 408)])
+def test_a_first_request_must_come_whole_in_time(tmp_path, stage, front, data, status):
+    """Guards against connections that are held for good by callers who never finish a request."""
+    if front == "platform":
+        program = stage(None)[0]
+    else:
+        program = Program.as_appliance(tmp_path, RosterServer(), RosterServer())
+        stage.started.append(program)
+    caller = program.caller()
+    caller.raw(data)
+    until(lambda: caller.closed, "the end of the connection")
+    assert [m.status for _, m in caller.got] == ([status] if status else [])
+
+
+def test_a_release_goes_on_the_calls_own_connection(stage):
+    """Guards against a release told to whoever spoke last, which may be one that asks once (churn)."""
+    program, _, (server,) = stage(None)
+    caller, passer, ident = program.caller(), program.caller(), next(IDS)
+    caller.invite(ident)
+    caller.expect(ident, 200)
+    passer.send("OPTIONS", "sip:ping@net", {"call-id": "p", "cseq": "1 OPTIONS"})
+    passer.expect("p", 200)
+    server.say("FINISH", ident, rc=16)
+    caller.expect(ident, "BYE")
+    assert not passer.of(ident, "BYE")
+
+
+def test_a_release_that_is_not_heard_goes_on_another_connection(stage):
+    """Guards against a call left standing because the one connection that was told of its end is not read."""
+    program, _, (server,) = stage(None)
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident)
+    caller.expect(ident, 200)
+    others = [program.caller() for _ in range(2)]
+    for other in others:
+        other.send("OPTIONS", "sip:ping@net", {"call-id": "p", "cseq": "1 OPTIONS"})
+        other.expect("p", 200)
+    caller.close()
+    server.say("FINISH", ident, rc=16)
+    for other in others:
+        other.expect(ident, "BYE")
+
+
+def invite(ident="00000000005e0000", within="1000", body=b"d", key="7f3a9c21e0b4d655", **more):
+    """The bytes of a set-up."""
+    headers = {"call-id": ident, "cseq": "1 INVITE", "call-kind": "read-roster", "answer-within": within}
+    headers.update(more)
+    lines = [(name.replace("_", "-"), value) for name, value in headers.items()]
+    return sip.request("INVITE", f"sip:{key}@net", lines, body)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        invite(ident="no id"),
+        invite(ident=""),
+        invite(ident="5e" * 9),
+        invite(body=b"\xff\xfe"),
+        invite(body=b"\xed\xa0\x80"),
+        invite(key="\udcff"),
+        invite(within="0"),
+        invite(within="-5"),
+        invite(within="1_0"),
+        invite(within="\u0661"),
+        invite(within="99999999"),
+        invite(within="9" * 400),
+        invite(within="9" * 5000),
+        invite(within="inf"),
+        invite(routing_data="dest:inf"),
+        invite(routing_data="dest:nan;width:1"),
+        invite(routing_data="dest:0;width:-3"),
+        invite(cseq="9" * 5000 + " INVITE"),
+        invite(cseq="1 BYE"),
+        invite(call_kind="none"),
+    ],
+    ids=range(20),
+)
+def test_what_no_roster_server_could_use_is_refused_here(stage, data):
+    """Guards against one caller's bytes that make a roster server close a link under others' set-ups, and
+    against figures that raise where they are read.
+    """
+    program, _, (server,) = stage(SILENT)
+    good, bad, ident = program.caller(), program.caller(), next(IDS)
+    good.invite(ident)
+    until(lambda: server.of("START"))
+    bad.raw(data)
+    until(lambda: bad.got, "a refusal")
+    assert [m.status for _, m in bad.got] == [400]
+    server.say("STARTED", ident, blob="d")
+    good.expect(ident, 200)
+    assert len(server.of("START")) == 1 and "fault" not in program.text()
+
+
+def test_an_id_is_used_once(stage):
+    """Guards against a second set-up under an id that is open, or was: it is refused and touches neither."""
+    program, _, (server,) = stage(SILENT)
+    good, bad, ident = program.caller(), program.caller(), next(IDS)
+    good.invite(ident)
+    until(lambda: server.of("START"))
+    bad.invite(ident, body=b"another")
+    bad.expect(ident, 482)
+    server.say("STARTED", ident, blob="d")
+    good.expect(ident, 200)
+    server.say("FINISH", ident, rc=16)
+    good.expect(ident, "BYE")
+    bad.invite(ident)
+    until(lambda: bad.finals(ident) == [482, 482], "the second refusal")
+    assert len(server.of("START")) == 1 and good.finals(ident) == [200]
+
+
+def test_callers_that_bring_nothing_usable_are_cut(stage):
+    """Guards against a caller that sends the same again the moment it is turned away."""
+    program, _, _ = stage(None)
+    bad = program.caller()
+    for _ in range(200):
+        bad.raw(invite(within="-5"))
+    until(lambda: bad.closed, "the end of the connection")
+    served(program)
+
+
+# ---- roster servers that do harm ----
+
+
+@pytest.mark.parametrize(
+    "noise",
+    [
+        b"\x00\xff noise\n",
+        b'{"verb":"STARTED","tag":"' + b"x" * 40_000,
+        b'{"verb":"STARTED","tag":3,"opts":{},"blob":"d"}\n',
+        b'{"verb":"STARTED","tag":"00000000005e0001","opts":{}}\n',
+        b'{"verb":"STARTED","tag":"00000000005e0001","opts":{},"blob":"\\ud800"}\n',
+        b'{"verb":"FINISH","tag":"00000000005e0001","opts":{},"rc":1e999}\n',
+        b"[" * 9000 + b"\n",
+    ],
+    ids=["bytes", "without end", "tag", "no blob", "surrogate", "figure", "deep"],
+)
+def test_a_spoilt_answer_ends_its_link_and_all_its_set_ups_go_on(stage, noise):
+    """Guards against set-ups that wait for answers on a link that can't be read any more."""
+    program, _, (server,) = stage(SILENT)
+    caller, idents = program.caller(), [next(IDS), next(IDS)]
+    for ident in idents:
+        caller.invite(ident)
+    until(lambda: len(server.of("START")) == 2)
+    server.script = RosterServer.answers
+    server.links[0].sendall(noise)
+    for ident in idents:
+        caller.expect(ident, 200)
+    assert len(server.links) == 2, "a new link, and only one"
+
+
+def test_second_copies_and_unknown_tags_harm_nothing(stage):
+    """Guards against a link given up, or a call answered twice, for more than was asked for."""
+
+    def twice(message, send):
+        if message["verb"] == "START":
+            for tag in ("00000000deadbeef", message["tag"], message["tag"]):
+                send("STARTED", tag, blob="d")
+
+    program, _, (server,) = stage(twice)
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident)
+    caller.expect(ident, 200)
+    server.say("FINISH", ident, rc=16)
+    caller.expect(ident, "BYE")
+    assert caller.finals(ident) == [200] and len(server.links) == 1
+    assert not server.of("FINISH"), "what is none of ours is not released"
+
+
+# ---- the long day ----
+
+
+def test_what_is_kept_of_servers_and_calls_goes_with_them():
+    """Guards against memory that grows with each server and call that ever was."""
+    now = [1000.0]
+    core = Core(
+        settings_from(SETTINGS)[0], random.Random(1), lambda: now[0], lambda *a, **k: None, Counters()
+    )
+    links = []
+    side = RosterSide(core, links.append)
+    front = TrunkFront(core)
+    connection = front.connect()
+    for n in range(200):
+        core.list_servers([Listing(f"s-{n}", ("127.0.0.1", 9), 0, Standing.READY)], n == 0)
+        connection.receive(invite(ident=f"{n:016x}", call_kind="read-roster"))
+        connection.receive(sip.request(f"MADE{n}", "sip:x@net", [], b"") if n < 7 else b"")
+        core.list_servers([Listing(f"s-{n}", ("127.0.0.1", 9), 0, Standing.GONE)], False)
+        for link in [link for link in links if link.done()]:
+            links.remove(link)
+            side.drop(link)  # as the driver does when a link has ended
+        now[0] += 5
+        core.tick()
+    assert not core.servers and not core.by_instance and not side.links
+    assert not core.calls and not front.calls and not core.by_ident
+    assert len(core._over) <= REMEMBERED_S / 5 + 1
+    assert len(core.controller.servers) <= 10 and len(core._timers) <= 10
+    assert not any("MADE" in name for name in core.counters.counts)
