Dial a second link where one keeps silent, end the one found dead, harden SIP, cut log floods

Checked: a probe wrote what the decisions hold once a second. From 3.2 s on nothing came on the one link to server 2 (report age 16.8 s at the end), from 6.5 s on nothing from server 1; three set-ups open there waited out their time, then one trial after the other. A connection was cut off without a word and stayed open; the roster server sends what it owes on it, or on the next that is opened, and none was.

At fault: RosterSide kept exactly one link a server and RosterLink had no notion of silence; Network._keep dials only when a connection ends. Releases handed to a broken connection were gone (RosterLink.pull).

Now RosterSide._look dials a spare where a set-up is open and nothing was heard for 0.5 s, or where calls stand and the states that are usually told stay away. The spare is used once it is up; the old link keeps its open set-ups until they end, or until something comes on the new one that the old should have heard of too (heard, _end_dead). Releases written into the silence are written again.

Also, from reading: bodies and numbers that are no UTF-8, ports above 65535, digits that are none, a Via's own received and names in Contacts are refused or passed over by the SIP front; links to vanished servers end; lines of one kind are cut to 20 a second; the console shows reports' ages, links, reloads.

--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -230,6 +230,15 @@
             self.directory = Directory(self.core, self.config.coordinator, self.after)
             self.network.spawn(self.network.follow(self.directory))
 
+    def state(self) -> str:
+        """What the console shows of the configuration and the directory."""
+        text = f"reload     {self.reloaded}\n"
+        if self.directory is not None:
+            host, port = self.directory.address
+            age = self.clock() - self.directory.told_at
+            text += f"directory  {host}:{port}, event {self.directory.after}, last heard {age:.1f} s ago\n"
+        return text
+
     def reload(self) -> None:
         """SIGHUP: read the configuration anew. One that can't be used changes nothing."""
         try:
@@ -283,7 +292,7 @@
         network.loop.add_signal_handler(name, stop.set)
     network.loop.add_signal_handler(signal.SIGHUP, service.reload)
     network.loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", **counters.counts))
-    attach_console(network.loop, Console(core, stop.set, lambda: service.reloaded))
+    attach_console(network.loop, Console(core, stop.set, service.state))
     log("ready", name=config.name, listen=listening)
     gc.collect()
     gc.freeze()
--- a/stairhatch/node/console.py
+++ b/stairhatch/node/console.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from stairhatch.interface import Standing
@@ -16,7 +15,8 @@
 HELP = """\
 help      this list
 status    how long it has run, calls and servers in figures
-servers   the roster servers of the directory
+servers   the roster servers of the directory: set-ups out, those that the decisions hold for unanswered,
+          calls that stand, the wait last reported and how long ago, and whether it is held for pressed
 calls     calls that are being set up or stand (the first 50)
 counters  what was taken in, sent and answered, by kind
 trace     print a line for each step of each call: trace on, trace off
@@ -29,9 +29,9 @@
     """One terminal."""
 
     def __init__(
-        self, core: Core, drain: Callable[[], None], reloaded: Callable[[], str] = lambda: "never"
+        self, core: Core, drain: Callable[[], None], service: Callable[[], str] = lambda: ""
     ) -> None:
-        self.core, self.drain, self.reloaded = core, drain, reloaded
+        self.core, self.drain, self.service = core, drain, service
         self.started = core.clock()
         self._data = b""
 
@@ -84,14 +84,20 @@
             f"callers    {counts.get('connections_evicted', 0)} connections put out for others, "
             f"{counts.get('connections_expired', 0)} ended as silent, "
             f"{unusable} requests unusable\n"
-            f"reload     {self.reloaded()}\n"
-        )
+            f"links      {counts.get('roster_connections', 0)} opened, "
+            f"{counts.get('roster_connections_failed', 0)} not reached, "
+            f"{counts.get('malformed_from_servers', 0)} ended as spoilt\n"
+        ) + self.service()
 
     def _servers(self) -> str:
         core = self.core
         if not core.servers:
             return "the directory names no servers\n"
-        text = f"{'name':20} {'address':22} {'number':>6} {'state':9} link  out standing started\n"
+        now = core.clock()
+        text = (
+            f"{'name':20} {'address':22} {'number':>6} {'state':9} link  out held standing  "
+            " wait   age marks\n"
+        )
         for server in core.servers.values():
             line = server.listing
             here = [
@@ -100,11 +106,18 @@
                 if call.attempt is not None and call.attempt.server is server
             ]
             address = f"{line.address[0]}:{line.address[1]}"
-            since = time.strftime("%F %T", time.gmtime(line.started_s)) if line.started_s else "long ago"
+            seen = core.controller.servers.get(server.id)  # what the decisions go by
+            held, wait, age, marks = 0, "-", "-", []
+            if seen is not None:
+                held = len(seen.unanswered)
+                if seen.reported_at > 0:
+                    wait, age = f"{seen.reported_s * 1000:.0f}ms", f"{now - seen.reported_at:.1f}s"
+                marks = [name for name in ("flagged", "down") if getattr(seen, name)]
+                marks += ["cold"] if core.controller.is_cold(now, seen) else []
             text += (
                 f"{line.instance:20} {address:22} {line.number:6} {line.standing.value:9} "
                 f"{'up' if server.connected else 'down':4} {here.count(Stage.OFFERED):4} "
-                f"{here.count(Stage.STANDING):8} {since}\n"
+                f"{held:4} {here.count(Stage.STANDING):8} {wait:>6} {age:>5} {' '.join(marks) or '-'}\n"
             )
         return text
 
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -157,6 +157,7 @@
     asked_at: float
     due: float
     written: bool = False
+    written_at: float = 0.0
     over: bool = False
 
 
@@ -273,6 +274,13 @@
         line = server.listing
         return say.ListedServer(server.id, line.number, line.standing, line.started_s)
 
+    def stands_at(self, server: Server) -> bool:
+        """Whether a call stands at a server."""
+        return any(
+            call.stage is Stage.STANDING and call.attempt is not None and call.attempt.server is server
+            for call in self.calls.values()
+        )
+
     def cut_standing(self, server: Server, before: float) -> None:
         """Its process has gone, and with it the calls that stood there before that time."""
         cut = [
@@ -368,7 +376,7 @@
         if attempt.server.listing.standing is not Standing.READY or attempt.due <= now:
             self._attempt_ended(attempt, Ending.NOT_SENT, Report())
             return None
-        attempt.written = True
+        attempt.written, attempt.written_at = True, now
         self.counters.add("attempts_sent")
         if self.tracing:
             self.log(
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -1,15 +1,19 @@
-"""The side of the roster servers: owns one link to each of them and the JSON lines spoken there. A state
-machine that is fed bytes and hands bytes out; a set-up becomes bytes only when it is about to be written.
-It must never know a socket, never choose a server, and never give up a connection that has set-ups open,
-unless something came on it that can't be read: no answer on it can be trusted from there on.
+"""The side of the roster servers: owns the links to them (one to each is in use, a second is dialled while
+the first keeps silent for no reason that shows) and the JSON lines spoken there. A state machine that is fed
+bytes and hands bytes out; a set-up becomes bytes only when it is about to be written. It must never know a
+socket, never choose a server, and never give up a connection that has set-ups open, unless something came on
+it that can't be read, or another link shows that it is dead: no answer is to be had on it from there on.
 """
 
 from __future__ import annotations
 
 import json
+import math
 import re
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from stairhatch.interface import Report, Standing
@@ -19,7 +23,16 @@
 MOST_LINE = 16 * 1024
 MOST_WAITING = 512  # set-ups that one link holds back; what comes beyond is not sent
 MOST_RELEASES = 8192
+RETIRED_S = 10.0  # a link to a server that is gone is not kept longer, whatever is still open on it
+SURELY_S = 1.0  # a connection so much older than a server's start is to the process before
 PULLED = 64 * 1024  # bytes handed out at a time
+LOOK_S = 0.25  # how often the links are looked at for silence
+SILENT_S = 0.5  # a set-up that is open so long on a link that says nothing makes it suspect
+QUIET_S, QUIET_GAPS = 1.5, 3.0  # where calls stand: silence of so long, and so many gaps between states told
+APART_S = 0.3  # what comes on two links for the same cause may lie so far apart
+DOUBT_S, LONGEST_DOUBT_S = 1.0, 16.0  # between two looks for another way to the same server
+MOST_TIMES = 3  # a release is written so often at most, should each connection break under it
+KEPT_S = 10.0  # releases written on a link that turns out to be dead are written again on the next
 IDENT = re.compile(r"[0-9a-fA-F]{16}\Z")
 VERBS = ("PENDING", "STARTED", "FINISH", "FINISHED", "ECHO", "ECHOED", "LOAD")
 
@@ -58,20 +71,26 @@
 
     def __init__(self, core: Core, dial: Callable[[RosterLink], None]) -> None:
         self.core, self.dial = core, dial
-        self.links: dict[int, RosterLink] = {}
+        self.links: dict[int, RosterLink] = {}  # the one in use, by the server's id
+        self.spares: dict[int, RosterLink] = {}  # dialled because that one keeps silent
+        self.left: list[RosterLink] = []  # passed over for a spare; what is open there may still be answered
         core.side = self
+        core.at(core.clock() + LOOK_S, self._look)
 
     def listed(self, server: Server) -> None:
         """News of a server: keep a connection while it is of use."""
         link = self.links.get(server.id)
         if server.listing.standing is Standing.GONE:
-            if link is not None:
-                link.retire()
+            for each in self._all(server):
+                each.retire()
             return
         if link is None:
             link = self.links[server.id] = RosterLink(self, server)
             self.dial(link)
         link.retired = False
+        for each in self._all(server):
+            if each.up_at < server.listing.started_s - SURELY_S:
+                each.abort()  # the process that it was opened to is no more
         link.wake()
 
     def set_up(self, attempt: Attempt) -> None:
@@ -88,12 +107,85 @@
         link = self.links.get(server.id)
         if link is None or len(link.queue) >= MOST_RELEASES:
             return
-        link.open.pop(ident, None)
-        link.queue.append(_line({"verb": "FINISH", "tag": ident, "opts": {}, "rc": cause}))
+        for each in self._all(server):
+            each.open.pop(ident, None)
+            if each.retired:
+                each.wake()  # it may be done now
+        link.queue.append(Release(_line({"verb": "FINISH", "tag": ident, "opts": {}, "rc": cause})))
         link.wake()
 
+    def _all(self, server: Server) -> list[RosterLink]:
+        """Every link to a server."""
+        here = [links[server.id] for links in (self.links, self.spares) if server.id in links]
+        return here + [link for link in self.left if link.server is server]
+
+    def _look(self) -> None:
+        """Dial a second time where a link keeps silent though something is due on it.
+
+        Guards against a connection that was cut off without a word and stays open: a node's set-ups all went
+        there and none came back, for the rest of the day (rate+silent+leave, snapshot 39c36c99). Nothing is
+        given up for the suspicion alone: a server may merely be slow.
+        """
+        now = self.core.clock()
+        self.core.at(now + LOOK_S, self._look)
+        for ident, link in self.links.items():
+            if ident in self.spares or link.retired or not link.suspect(now) or now < link.doubt_from:
+                continue
+            spare = self.spares[ident] = RosterLink(self, link.server)
+            link.doubt_s = min(LONGEST_DOUBT_S, 2 * link.doubt_s)
+            link.doubt_from, spare.doubt_s = now + link.doubt_s, link.doubt_s
+            spare.doubt_from = link.doubt_from
+            self.core.counters.add("links_doubted")
+            silent_s = round(now - max(link.heard_at, link.up_at), 2)
+            self.core.log("doubted", server=link.server.listing.instance, silent_s=silent_s)
+            self.dial(spare)
+
+    def is_spare(self, link: RosterLink) -> bool:
+        """Whether it has not come up yet beside the one in use."""
+        return self.spares.get(link.server.id) is link
+
+    def promote(self, link: RosterLink) -> None:
+        """A spare has come up: it is used from now on. The other is kept for what is open on it."""
+        ident = link.server.id
+        del self.spares[ident]
+        old = self.links.get(ident)
+        self.links[ident] = link
+        if old is None:
+            return
+        self.left.append(old)
+        old.retired = True
+        link.queue.extend(old.queue)
+        link.queue.extend(old.unsure())
+        old.queue.clear()
+        old.wake()
+
+    def heard(self, link: RosterLink, state: bool) -> None:
+        """Something came. Where another link to the server should have heard of it too, that one is dead."""
+        now = self.core.clock()
+        link.heard_at = now
+        if state:
+            link.states += 1
+        if not self.left or link in self.left or (state and link.states < 2):
+            return  # the first state comes on each new connection by itself
+        for old in self.left:
+            silent = max(old.heard_at, link.up_at, old.up_at) < now - APART_S
+            if old.server is link.server and silent and not old.ending:
+                old.ending = True
+                self.core.at(now + APART_S, partial(self._end_dead, old, now))
+
+    def _end_dead(self, old: RosterLink, since: float) -> None:
+        old.ending = False
+        if old in self.left and old.heard_at < since - APART_S:
+            self.core.counters.add("links_dead")
+            self.core.log("link_dead", server=old.server.listing.instance, open=len(old.open))
+            old.abort()
+
     def drop(self, link: RosterLink) -> None:
-        """A retired link has ended."""
+        """A link has ended for good."""
+        if link in self.left:
+            self.left.remove(link)
+        if self.is_spare(link):
+            del self.spares[link.server.id]
         if self.links.get(link.server.id) is link:
             del self.links[link.server.id]
             if link.server.listing.standing is not Standing.GONE:
@@ -102,8 +194,16 @@
                 self.core.forget_server(link.server)
 
 
+@dataclass(slots=True)
+class Release:
+    """A release, or the giving up of a set-up, as it is written."""
+
+    line: bytes
+    times: int = 0  # written
+
+
 class RosterLink(Machine):
-    """One roster server and the connection to it, if there is one."""
+    """One roster server and a connection to it, if there is one."""
 
     def __init__(self, side: RosterSide, server: Server) -> None:
         super().__init__()
@@ -111,7 +211,13 @@
         self.retired = False
         self.told_unreached = False
         self.spoilt = False
-        self.queue: deque[Attempt | bytes] = deque()
+        self.up_at = math.inf  # when the connection came up; none: never
+        self.heard_at = -math.inf  # when something last came
+        self.ending = False  # it is about to be found dead, unless something comes
+        self.states = 0  # reports that came unasked, on this connection
+        self.doubt_s, self.doubt_from = DOUBT_S, -math.inf
+        self.queue: deque[Attempt | Release | bytes] = deque()
+        self.written: deque[tuple[float, Release]] = deque(maxlen=512)  # releases, the last ones
         self.open: dict[str, Attempt] = {}  # written here, not yet answered
         self.data = bytearray()
 
@@ -124,20 +230,49 @@
         """Whether something waits for a connection."""
         return bool(self.queue)
 
+    def suspect(self, now: float) -> bool:
+        """Whether it keeps silent though an answer is due, or states are told and calls stand there."""
+        if self.up_at > now:
+            return False
+        last = max(self.heard_at, self.up_at)
+        for attempt in self.open.values():  # the first is the one written first
+            return now - max(last, attempt.written_at) > SILENT_S
+        gap = (last - self.up_at) / self.states if self.states > 2 else math.inf
+        return now - last > max(QUIET_S, QUIET_GAPS * gap) and self.side.core.stands_at(self.server)
+
+    def unsure(self) -> list[Release]:
+        """Releases that were written, perhaps to nobody."""
+        now = self.side.core.clock()
+        since = max(self.heard_at - APART_S, now - KEPT_S)
+        found = [release for at, release in self.written if at >= since and release.times < MOST_TIMES]
+        self.written.clear()
+        return found
+
     def retire(self) -> None:
         """The server is gone; what has not been written to it is not sent."""
         self.retired = True
         waiting = [item for item in self.queue if isinstance(item, Attempt)]
-        self.queue = deque(item for item in self.queue if isinstance(item, bytes))
+        self.queue = deque(item for item in self.queue if not isinstance(item, Attempt))
         for attempt in waiting:
             self.side.core.not_written(attempt, reached=True)
+        self.side.core.at(self.side.core.clock() + RETIRED_S, self._overdue)
         self.wake()
 
+    def _overdue(self) -> None:
+        """Guards against a machine that vanished: what is to be written to it never leaves."""
+        if self.retired and self.server.listing.standing is Standing.GONE:
+            self.queue.clear()
+            self.abort()
+            self.wake()
+
     def connected(self) -> None:
         """A connection has come up."""
         self.data.clear()
-        self.spoilt = False
+        self.spoilt, self.up_at = False, self.side.core.clock()
+        self.heard_at, self.states = -math.inf, 0
         self.server.connected, self.told_unreached = True, False
+        if self.side.is_spare(self):
+            self.side.promote(self)
         self.side.core.counters.add("roster_connections")
         self.side.core.log("reached", server=self.server.listing.instance)
 
@@ -145,20 +280,30 @@
         """A connection did not come up. A refused one proves that the process is gone, with its calls."""
         core = self.side.core
         core.counters.add("roster_connections_failed")
+        if self.side.is_spare(self) or self in self.side.left:
+            self.retired = True  # the link in use goes on; that it is refused one more proves nothing
+            return
         if not self.told_unreached:  # once: it is tried again every second
             core.log("unreached", server=self.server.listing.instance, refused=refused)
             self.told_unreached = True
         waiting = [item for item in self.queue if isinstance(item, Attempt)]
-        kept = () if refused or self.retired else (i for i in self.queue if isinstance(i, bytes))
+        kept = () if refused or self.retired else (i for i in self.queue if not isinstance(i, Attempt))
         self.queue = deque(kept)
         for attempt in waiting:
             core.not_written(attempt, reached=False)
-        if refused:
+        others = (link for link in self.side.left if link.server is self.server)
+        if refused and not any(link.up_at < math.inf for link in others):
             core.cut_standing(self.server, before=core.clock() + 1)
 
     def lost(self) -> None:
         """The connection broke: the set-ups open on it are reset."""
-        self.server.connected = False
+        self.up_at = math.inf
+        in_use = self.side.links.get(self.server.id)
+        self.server.connected = in_use is not None and in_use.up_at < math.inf
+        unsure = self.unsure()
+        if in_use is not None and self.server.listing.standing is not Standing.GONE:
+            in_use.queue.extendleft(reversed(unsure))
+            in_use.wake()
         broken, self.open = list(self.open.values()), {}
         self.side.core.log("link_lost", server=self.server.listing.instance, open=len(broken))
         for attempt in broken:
@@ -176,9 +321,15 @@
                 offer = item.call.offer
                 kind = core.settings.classes[offer.kind].name
                 self.open[offer.ident] = item
-                item = start_line(offer.ident, kind, offer.key, offer.description, left_ms)
-            out.append(item)
-            size += len(item)
+                line = start_line(offer.ident, kind, offer.key, offer.description, left_ms)
+            elif isinstance(item, Release):
+                item.times += 1
+                self.written.append((core.clock(), item))
+                line = item.line
+            else:
+                line = item
+            out.append(line)
+            size += len(line)
         return b"".join(out)
 
     def receive(self, data: bytes | memoryview) -> None:
@@ -231,6 +382,7 @@
             self._spoil(f"{type(error).__name__}: {str(error)[:80]}")
             return
         core.counters.add(f"got_{verb if verb in VERBS else 'other_verb'}")
+        self.side.heard(self, state=verb == "LOAD")
         if verb == "STARTED":
             core.load_told(self.server, report)
             self.open.pop(ident, None)
--- a/stairhatch/node/sip_front.py
+++ b/stairhatch/node/sip_front.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
 import math
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -297,7 +298,7 @@
         if message.method != "ACK" and not sip.parameters(message.get("from")).get("tag"):
             return "no From tag"
         hops = message.get("max-forwards", "70")
-        if not hops.isascii() or not hops.isdigit():
+        if not hops.isascii() or not hops.isdigit() or len(hops) > 3:
             return "bad Max-Forwards"
         return ""
 
@@ -307,7 +308,9 @@
         for index, (name, value) in enumerate(message.headers):
             if name != "via":
                 continue
-            first, *others = sip.split_list(value)
+            first, *others = sip.split_list(value) or [""]
+            parts = [p for p in first.split(";") if p.partition("=")[0].strip().lower() != "received"]
+            first = ";".join(parts)  # where it came from is ours to say
             given = sip.parameters(first)
             host, port = flow.peer
             if "rport" in given and not given["rport"]:
@@ -423,7 +426,12 @@
         if message.body and media != MEDIA:
             self.final(transaction, 415, [("accept", MEDIA)])
             return
-        description = message.body.decode("utf-8", "surrogateescape")
+        try:
+            description = message.body.decode()  # what is no UTF-8 would be no JSON at the roster server
+            user.encode()
+        except ValueError:
+            self.final(transaction, 400, [])
+            return
         ident = hashlib.blake2b("\0".join(merged).encode("utf-8", "replace"), digest_size=8).hexdigest()
         if roster.too_long(ident, self.core.settings.classes[kind].name, user, description):
             self.final(transaction, 413, [])
@@ -569,6 +577,8 @@
         if used.alive and (used.reliable or self.config.udp is not None):
             return used
         host, port = _host_port(uri.partition(":")[2].rpartition("@")[2].split(";")[0], 5060)
+        if not _is_address(host):
+            host, port = used.peer  # names are not looked up: that would hold up everybody
         if sip.parameters(uri).get("transport", "").lower() != "tcp" and self.config.udp is not None:
             return UdpFlow(self.datagrams, (host, port))
         known = self.connections.get((host, port))
@@ -635,8 +645,9 @@
         """RFC 3261, 18.2.2 and RFC 3581: the source, and the port of rport or of Via."""
         via = request.all("via")[0]
         given = sip.parameters(via)
-        if given.get("rport", "").isdigit():
-            return flow.peer[0] if flow.reliable else given.get("received", flow.peer[0]), int(given["rport"])
+        port = _port(given.get("rport", ""))
+        if port:
+            return flow.peer[0] if flow.reliable else given.get("received", flow.peer[0]), port
         return given.get("received") or _sent_by(via)[0], _sent_by(via)[1]
 
     def _reply_stateless(
@@ -687,11 +698,24 @@
         yield name, value
 
 
+def _is_address(host: str) -> bool:
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _port(text: str) -> int:
+    """A port's number; 0 for what is none."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 6 and int(text) < 65536 else 0
+
+
 def _host_port(text: str, default: int) -> Address:
     host, colon, port = text.strip().rpartition(":")
-    if colon and port.isascii() and port.isdigit():
-        return host, int(port)
-    return text.strip(), default
+    if colon and _port(port):
+        return host, _port(port)
+    return (host if colon and port.isdigit() else text.strip()), default
 
 
 def _sent_by(via: str) -> Address:
--- a/stairhatch/node/syslog.py
+++ b/stairhatch/node/syslog.py
@@ -17,10 +17,13 @@
 from collections.abc import Callable, Mapping
 
 MOST_WAITING = 10_000
+MOST_WARNINGS = 20  # of a kind in a second; hostile peers could make the log the most costly part of the work
 FACILITY = 16  # local0
 SD_ID = "stairhatch@32473"  # the number that RFC 5612 sets aside for documentation; ours is not assigned yet
 BOM = "\ufeff"
-WARNINGS = ("fault", "guard", "malformed", "unreached", "directory", "accept", "link_lost")
+WARNINGS = (
+    "fault", "guard", "malformed", "unreached", "directory", "accept", "link_lost", "link_dead", "doubted"
+)  # fmt: skip
 NOT_PRINTABLE = re.compile(r"[^\x21-\x7e]")
 NOT_SD_NAME = re.compile(r'[^\x21-\x7e]|[=\]" ]')
 
@@ -106,6 +109,7 @@
     ) -> None:
         self.name, self.clock = name, clock
         self.left_out = 0
+        self._warned: dict[str, tuple[float, int]] = {}  # event -> begin of its second, lines in it
         self._queue: queue.Queue[logging.LogRecord] = queue.Queue(MOST_WAITING)
         handlers: list[logging.Handler] = [_Lines()]
         if syslog is not None:
@@ -117,8 +121,19 @@
 
     def __call__(self, event: str, **fields: object) -> None:
         """One event."""
+        now = self.clock()
+        if event in WARNINGS:
+            since, lines = self._warned.get(event, (now, 0))
+            if now - since >= 1:
+                if lines > MOST_WARNINGS:
+                    fields["left_out_before"] = lines - MOST_WARNINGS
+                since, lines = now, 0
+            self._warned[event] = since, lines + 1
+            if lines >= MOST_WARNINGS:
+                self.left_out += 1
+                return
         try:
-            self._queue.put_nowait(_Event(self.name, self.clock(), event, fields))
+            self._queue.put_nowait(_Event(self.name, now, event, fields))
         except queue.Full:
             self.left_out += 1
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,6 +6,7 @@
 
 import json
 import random
+import time
 
 import pytest
 
@@ -14,6 +15,7 @@
 from stairhatch.node.core import REMEMBERED_S, Core, Counters, Listing
 from stairhatch.node.directory import WHOLE_S, Directory
 from stairhatch.node.roster import RosterSide
+from stairhatch.node.syslog import MOST_WARNINGS, Log
 from stairhatch.node.trunk_front import TrunkFront
 from stairhatch.settings import settings_from
 
@@ -345,9 +347,98 @@
     assert not server.of("FINISH"), "what is none of ours is not released"
 
 
+def test_a_link_cut_off_without_a_word_is_found_out_and_its_set_ups_go_on(stage):
+    """Guards against a connection that stays open and silent: all set-ups went there and none came back, for
+    the rest of the day (rate+silent+leave). What was released there is released again.
+    """
+    program, _, (server,) = stage(None)
+    caller, standing, waiting = program.caller(), next(IDS), next(IDS)
+    caller.invite(standing)
+    caller.expect(standing, 200)
+    server.script = SILENT
+    caller.invite(waiting)
+    until(lambda: len(server.of("START")) == 2)
+    caller.send("BYE", "sip:x@net", {"call-id": standing, "cseq": "2 BYE"})
+    until(lambda: len(server.links) == 2, "a second link")
+    until(lambda: len(server.of("FINISH")) == 2, "the release, written again")
+    server.script = RosterServer.answers
+
+    def told():
+        server.say("LOAD", "", opts={"load": "free:50;size:90"})
+        time.sleep(0.1)
+        return caller.finals(waiting)
+
+    until(told)
+    assert caller.finals(waiting) == [200] and program.lines("link_dead")
+    assert {m["tag"] for m in server.of("FINISH")} == {standing}
+
+
+def test_a_link_that_is_merely_slow_keeps_its_set_ups(stage):
+    """Guards against set-ups given up at a server that takes its time but is heard on the same link."""
+    program, _, (server,) = stage(SILENT)
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident)
+    until(lambda: len(server.links) == 2, "a second link")
+    for _ in range(5):
+        for link in server.links:
+            server.say("LOAD", "", link, opts={"load": "free:50;size:90"})
+        time.sleep(0.2)
+    server.say("STARTED", ident, server.links[0], blob="d")
+    caller.expect(ident, 200)
+    assert len(server.of("START")) == 1 and not program.lines("link_dead")
+
+
+def a_link(now):
+    """A link to a listed server, connected, and what the driver was asked to end."""
+    core = Core(
+        settings_from(SETTINGS)[0], random.Random(1), lambda: now[0], lambda *a, **k: None, Counters()
+    )
+    links, aborted = [], []
+    side = RosterSide(core, links.append)
+    core.list_servers([Listing("s", ("127.0.0.1", 9), 0, Standing.READY)], True)
+    links[0].abort = lambda: aborted.append(now[0])
+    links[0].connected()
+    return core, side, links[0], aborted
+
+
+@pytest.mark.parametrize(("started", "ends"), [(999.9, False), (1004.0, True)])
+def test_a_link_from_before_a_servers_start_is_ended(started, ends):
+    """Guards against a machine that vanished and came back: the old connection stays silent for good."""
+    now = [1000.0]
+    core, _, _, aborted = a_link(now)
+    now[0] = 1010.0
+    core.list_servers([Listing("s", ("127.0.0.1", 9), 0, Standing.READY, started)], False)
+    assert bool(aborted) is ends
+
+
+def test_a_link_to_a_vanished_server_does_not_stay_for_what_it_cannot_write():
+    """Guards against a connection and its releases kept for good for a machine that is gone."""
+    now = [1000.0]
+    core, side, link, aborted = a_link(now)
+    side.finish(link.server, "00000000005e0001", 16)
+    core.list_servers([Listing("s", ("127.0.0.1", 9), 0, Standing.GONE)], False)
+    assert not link.done()
+    now[0] += 11
+    core.tick()
+    assert aborted and link.done()
+
+
 # ---- the long day ----
 
 
+def test_a_flood_of_one_kind_of_line_is_cut_and_counted(capsys):
+    """Guards against a log that takes more of the processor than the calls, at a hostile peer's will."""
+    now = [1.0]
+    log = Log("stairhatch", "host", lambda: now[0])
+    for _ in range(500):
+        log("malformed", side="caller")
+    now[0] = 2.5
+    log("malformed", side="caller")
+    log.close()
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == MOST_WARNINGS + 1 and lines[-1].endswith("left_out_before=480")
+
+
 def test_what_is_kept_of_servers_and_calls_goes_with_them():
     """Guards against memory that grows with each server and call that ever was."""
     now = [1000.0]
--- a/tests/test_sip_front.py
+++ b/tests/test_sip_front.py
@@ -39,6 +39,9 @@
         ("INVITE", {"from": None}, 400),
         ("INVITE", {"call_id": None}, 400),
         ("INVITE", {"max_forwards": "many"}, 400),
+        ("INVITE", {"max_forwards": "9" * 5000}, 400),
+        ("INVITE", {"cseq": "9" * 5000 + " INVITE"}, 400),
+        ("INVITE", {"uri": "sip:7\udcff@net"}, 400),
         ("INVITE", {"call_kind": "no-such-class"}, 400),
         ("INVITE", {"max_forwards": "0"}, 483),
         ("INVITE", {"require": "100rel, timer"}, 420),
@@ -255,6 +258,8 @@
          b"t: <sip:7@net>\r\ni: x\r\nCSeq: 1 INVITE\r\nc: application/sdp\r\n\r\n" + b'"' * 9000, 413),
         (b"INVITE sip:7@net SIP/2.0\r\nv: SIP/2.0/UDP h;branch=z9hG4bKq\r\nf: <sip:a@b>;tag=1\r\n"
          b"t: <sip:7@net>\r\ni: x\r\nCSeq: 1 INVITE\r\n\r\n" + b"a" * 17000, 413),
+        (b"INVITE sip:7@net SIP/2.0\r\nv: SIP/2.0/UDP h;branch=z9hG4bKq\r\nf: <sip:a@b>;tag=1\r\n"
+         b"t: <sip:7@net>\r\ni: x\r\nCSeq: 1 INVITE\r\nc: application/sdp\r\n\r\n\xff", 400),
     ],
 )  # fmt: skip
 def test_malformed_datagrams_are_answered_or_counted(data, status):
@@ -263,7 +268,39 @@
     inside.front.datagrams.receive(data, ("127.0.0.1", 4000))
     sent = [sip.parse_datagram(piece) for piece, _ in inside.front.datagrams.output]
     assert [m.status for m in sent] == ([status] if status else [])
-    assert inside.core.counters.counts.get("malformed_from_callers", 0) == (b'"' not in data)
+    at_once = b'"' not in data and b"\xff" not in data
+    assert inside.core.counters.counts.get("malformed_from_callers", 0) == at_once
+    assert not inside.written
+
+
+@pytest.mark.parametrize(
+    ("via", "peer"),
+    [
+        ("127.0.0.1:4000;branch=z9hG4bKv;received=name.example", ("127.0.0.1", 4000)),
+        ("127.0.0.1:99999;branch=z9hG4bKv", ("127.0.0.1", 5060)),
+        ("name.example;branch=z9hG4bKv;rport=99999", ("127.0.0.1", 5060)),
+        ("name.example;branch=z9hG4bKv;rport=\u00b2", ("127.0.0.1", 5060)),
+    ],
+)
+def test_a_via_that_lies_sends_no_answer_elsewhere_and_looks_up_no_name(via, peer):
+    """Guards against answers to a third party, a look-up that holds up all calls, and ports that are none."""
+    inside = Inside()
+    lines = {**sip_headers("OPTIONS"), "via": f"SIP/2.0/UDP {via}"}
+    data = sip.request("OPTIONS", "sip:x@net", list(lines.items()))
+    inside.front.datagrams.receive(data, ("127.0.0.1", 4000))
+    assert [where for _, where in inside.front.datagrams.output] == [peer]
+
+
+def test_a_release_to_a_contact_that_is_a_name_goes_where_the_call_came_from():
+    """Guards against a look-up of a caller's choice, which would hold up all calls."""
+    inside = Inside()
+    line = Line(inside, reliable=True)
+    line.ask(contact="<sip:office@name.example:4010>")
+    inside.stand()
+    line.alive = False
+    attempt = inside.written[0]
+    inside.core.finished(attempt.server, attempt.call.offer.ident, 16, "", REPORT)
+    assert inside.front.datagrams.output[0][1] == line.peer
 
 
 # ---- the real program ----
@@ -388,7 +425,8 @@
     caller.expect("c1", 200)
     stdin = program.process.stdin
     for command, shows in [
-        ("help", "drain"), ("status", "1 standing"), ("servers", "ready     up"), ("calls", "save-roster"),
+        ("help", "drain"), ("status", "1 standing"), ("status", "reload     never"), ("status", "links "),
+        ("servers", "ready     up"), ("servers", "held standing"), ("calls", "save-roster"),
         ("counters", "answers_stood"), ("wrong", "try help"),
     ]:  # fmt: skip
         stdin.write(command.encode() + b"\n")
