Fail a set-up whose release comes before its answer, open a link more after a dead one

The call named was set up at 2.69 s, a FINISH 16 came at 3.03 s with no answer before it, it was taken for a reset and set up at the other server; the first server's STARTED came at 5.74 s, the answer having been held up. So the call had stood and ended, and its end was owed to the caller by 3.82 s. Ruled out for this call: a silent link (that of the first server was heard all along) and unheard BYEs (its second set-up's was heard within 3 ms).

At fault: Core.finished took every cause but 34, 102, 17 and 47 before an answer for a reset. Found by the same trace: what a server releases on a dead link after the spare has come up and before the dead one is closed is told on no link that is open (RosterSide.promote, _end_dead), and a link passed over was closed while releases could still come on it.

Now FINISH 16 before an answer fails the call at once; a link more is opened once a dead one has ended; links passed over are read for 10 s.

--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -11,6 +11,7 @@
 import asyncio
 import gc
 import json
+import math
 import os
 import random
 import secrets
@@ -38,6 +39,7 @@
 from stairhatch.settings import SettingsError, settings_from
 
 STAY_S = 1.0  # after SIGTERM: connections come for 0.4 s, requests on them for 0.2 s more
+PLATFORM_DRAIN_S = 3.4  # its SIGKILL may come 3.7 s after SIGTERM, however long the deadlines are
 
 
 class ConfigError(ValueError):
@@ -53,6 +55,7 @@
     seed: str = ""
     sockets: int = 1024
     memory_mb: int = 192
+    drain_s: float = math.inf  # what is unanswered so long after SIGTERM is answered then
     listen: tuple[str, int] | None = None  # the platform's front
     sip: SipConfig | None = None  # the appliance's front
     coordinator: tuple[str, int] | None = None
@@ -87,6 +90,7 @@
             listen=parse_address(environ.get("RELAY_LISTEN") or raw["listen"]),
             coordinator=parse_address(raw["coordinator"]),
             known=raw["known"],
+            drain_s=PLATFORM_DRAIN_S,
             tracing=environ.get("STAIRHATCH_TRACE") == "1",
         )
     except ConfigError:
@@ -298,12 +302,16 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     await stop.wait()
+    stopped = network.loop.time()
     log("stopping", unanswered=core.unanswered)
     fronts = [each for each in (service.trunk, service.front) if each is not None]
     for each in fronts:
         each.draining = True
     await asyncio.sleep(STAY_S)
     while core.unanswered or not all(each.flushed() for each in fronts):
+        if core.unanswered and network.loop.time() - stopped > config.drain_s:
+            log("drained", unanswered=core.unanswered)
+            core.answer_all()
         await asyncio.sleep(0.01)
     await asyncio.sleep(0.05)  # what was handed to the sockets last is written
     log("counters", lines_left_out=log.left_out, **counters.counts)
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -369,6 +369,14 @@
             if server.listing.standing is not Standing.GONE:
                 self.side.finish(server, ident, cause)
 
+    def answer_all(self) -> None:
+        """The process is about to be ended: who still waits is told so, and may try elsewhere."""
+        for call in [call for call in self.calls.values() if call.stage is Stage.OFFERED]:
+            if call.stage is Stage.OFFERED:
+                harmless = call.attempts == 0 or self.settings.classes[call.offer.kind].repeatable
+                self._final(call, say.RefuseCall(call.number) if harmless else say.FailCall(call.number))
+                self._tell(say.CallerLeft(call.number))
+
     def _backstop(self, call: Call) -> None:
         if call.stage is Stage.OFFERED:
             self.log("guard", call=call.offer.ident, why="the decisions left it unanswered")
@@ -451,6 +459,9 @@
         if call.stage is Stage.STANDING:
             self._call_ended(call, cause, report)
             return
+        if cause == ENDED:
+            self._ended_unheard(call, attempt, report)
+            return
         ending = Ending.ERROR
         if cause == FULL:
             ending = Ending.FULL
@@ -467,6 +478,19 @@
 
     # ---- inside ----
 
+    def _ended_unheard(self, call: Call, attempt: Attempt, report: Report) -> None:
+        """The call stood and has come to its end, but the answer has not been heard.
+
+        Guards against a call that is set up a second time though it has run its course: its end was owed to
+        the caller, who got another call instead (rate+silent+leave, where answers come late).
+        """
+        self.counters.add("calls_ended_unheard")
+        if self.tracing:
+            self.log("release", call=call.offer.ident, side="server", cause=ENDED)
+        call.attempt = None
+        self._final(call, say.FailCall(call.number))
+        self._attempt_ended(attempt, Ending.RESET, report)
+
     def _call_ended(self, call: Call, cause: int, report: Report) -> None:
         """A standing call is over by the roster server's doing: its caller is released."""
         attempt = call.attempt
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -137,6 +137,7 @@
                 if error.errno == errno.EBADF:
                     return
                 self.core.log("accept", why=str(error))
+                self._put_out(taken)  # descriptors have run out
                 await asyncio.sleep(0.05)
                 continue
             self.core.counters.add("connections_taken")
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -29,6 +29,8 @@
 LOOK_S = 0.25  # how often the links are looked at for silence
 SILENT_S = 0.5  # a set-up that is open so long on a link that says nothing makes it suspect
 QUIET_S, QUIET_GAPS = 1.5, 3.0  # where calls stand: silence of so long, and so many gaps between states told
+LEFT_S = 10.0  # a link passed over is read so long, for the releases that come on it
+AGAIN_S = 0.1  # after a dead link has been ended
 APART_S = 0.3  # what comes on two links for the same cause may lie so far apart
 DOUBT_S, LONGEST_DOUBT_S = 1.0, 16.0  # between two looks for another way to the same server
 MOST_TIMES = 3  # a release is written so often at most, should each connection break under it
@@ -128,16 +130,25 @@
         """
         now = self.core.clock()
         self.core.at(now + LOOK_S, self._look)
+        spare: list[RosterLink] = []
         for ident, link in self.links.items():
             if ident in self.spares or link.retired or not link.suspect(now) or now < link.doubt_from:
                 continue
-            spare = self.spares[ident] = RosterLink(self, link.server)
             link.doubt_s = min(LONGEST_DOUBT_S, 2 * link.doubt_s)
-            link.doubt_from, spare.doubt_s = now + link.doubt_s, link.doubt_s
-            spare.doubt_from = link.doubt_from
+            link.doubt_from = now + link.doubt_s
             self.core.counters.add("links_doubted")
             silent_s = round(now - max(link.heard_at, link.up_at), 2)
             self.core.log("doubted", server=link.server.listing.instance, silent_s=silent_s)
+            spare.append(link)
+        for link in spare:
+            self._second(link)
+
+    def _second(self, link: RosterLink) -> None:
+        """Dial once more to the server of the link in use."""
+        ident = link.server.id
+        if self.links.get(ident) is link and ident not in self.spares and not link.retired:
+            spare = self.spares[ident] = RosterLink(self, link.server)
+            spare.doubt_s, spare.doubt_from = link.doubt_s, link.doubt_from
             self.dial(spare)
 
     def is_spare(self, link: RosterLink) -> bool:
@@ -145,7 +156,7 @@
         return self.spares.get(link.server.id) is link
 
     def promote(self, link: RosterLink) -> None:
-        """A spare has come up: it is used from now on. The other is kept for what is open on it."""
+        """A spare has come up: it is used from now on. The other is kept for what may still come on it."""
         ident = link.server.id
         del self.spares[ident]
         old = self.links.get(ident)
@@ -153,7 +164,8 @@
         if old is None:
             return
         self.left.append(old)
-        old.retired = True
+        old.retired, old.left_at = True, self.core.clock()
+        self.core.at(old.left_at + LEFT_S + 0.01, lambda: old.wake())
         link.queue.extend(old.queue)
         link.queue.extend(old.unsure())
         old.queue.clear()
@@ -179,6 +191,17 @@
             self.core.counters.add("links_dead")
             self.core.log("link_dead", server=old.server.listing.instance, open=len(old.open))
             old.abort()
+            self.core.at(self.core.clock() + AGAIN_S, partial(self._again, old.server))
+
+    def _again(self, server: Server) -> None:
+        """A dead link has ended. What the server released on it before it knew comes on the next one opened.
+
+        Guards against calls whose end is told to nobody: they ended after the second link had come up and
+        before the first was closed (rate+silent+leave, snapshot 807910f0).
+        """
+        link = self.links.get(server.id)
+        if link is not None and link.up_at < math.inf:
+            self._second(link)
 
     def drop(self, link: RosterLink) -> None:
         """A link has ended for good."""
@@ -213,6 +236,7 @@
         self.spoilt = False
         self.up_at = math.inf  # when the connection came up; none: never
         self.heard_at = -math.inf  # when something last came
+        self.left_at = -math.inf  # when it was passed over for another
         self.ending = False  # it is about to be found dead, unless something comes
         self.states = 0  # reports that came unasked, on this connection
         self.doubt_s, self.doubt_from = DOUBT_S, -math.inf
@@ -223,7 +247,8 @@
 
     def done(self) -> bool:
         """Whether the connection may be closed. Never while a set-up is open on it."""
-        return self.retired and not self.open and not self.queue
+        late = self.side.core.clock() - self.left_at > LEFT_S
+        return self.retired and not self.open and not self.queue and late
 
     @property
     def urgent(self) -> bool:
@@ -250,7 +275,7 @@
 
     def retire(self) -> None:
         """The server is gone; what has not been written to it is not sent."""
-        self.retired = True
+        self.retired, self.left_at = True, -math.inf
         waiting = [item for item in self.queue if isinstance(item, Attempt)]
         self.queue = deque(item for item in self.queue if not isinstance(item, Attempt))
         for attempt in waiting:
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -135,8 +135,9 @@
         return found or next((c for c in reversed(release.tried) if c in self.connections), None)
 
     def flushed(self) -> bool:
-        """Whether all output has been handed to the driver."""
-        return not any(connection.output for connection in self.connections)
+        """Whether all output has been handed to the driver, and the releases sent have been heard."""
+        unheard = any(release.tried for release in self.releases.values())
+        return not unheard and not any(connection.output for connection in self.connections)
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -402,6 +402,27 @@
     assert len(looks) < 3 * 2000
 
 
+def test_calls_that_wait_in_vain_are_not_looked_at_each_time(make_node):
+    """Found on a calm day whose callers were refused by thousands: every instant looked all waiting calls
+    through, for each server anew, and took a third of the core.
+    """
+    node = make_node()
+    core, looks = node.core, []
+    few = Report(free=1, size=100)  # kept for the calls worth most
+    for server in (10, 11):
+        node.tell(say.LoadTold(server, few))
+    for _ in range(500):
+        node.offer()
+    pick = core.pick
+    core.pick = lambda *args: looks.append(1) or pick(*args)  # type: ignore[method-assign]
+    waiting = len(core.waiting)
+    for _ in range(10):
+        node.ring(0.01)
+    assert len(core.waiting) == waiting > 400 and not looks
+    node.ring(1.2)
+    assert not core.waiting and len(finals(node.done)) == 500  # each is refused when its time is over
+
+
 def test_reports_of_a_long_wait_cut_the_part_of_a_node_that_sends_seldom(make_node):
     """Found on bangkok-later big-2: own answers came too seldom to slow down for."""
     node = make_node(settings=replace(SETTINGS, balancers=250))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,6 +39,7 @@
     [
         ([None], "read-roster", 200, 1),
         ([RosterServer.ends(34), None], "save-roster", 200, 2),  # full: at once to the other one
+        ([RosterServer.ends(16), None], "read-roster", 500, 1),  # it stood and is over, its answer got lost
         ([RosterServer.ends(17, "lines_busy")], "read-roster", 500, 1),  # a busy number is not tried again
         ([SILENT], "read-roster", 500, 1),
         ([], "read-roster", 503, 0),
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -115,6 +115,19 @@
     assert two.of("START")[0]["opts"]["class"] == "save-roster" and not one.of("START")
 
 
+def test_a_drain_answers_who_still_waits_before_the_process_is_killed(stage):
+    """Guards against a planned restart that leaves callers with deadlines of 9 s without any answer:
+    SIGKILL may come 3.7 s after SIGTERM.
+    """
+    program, _, (server,) = stage(SILENT)
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident, within=9000)
+    until(lambda: server.of("START"))
+    assert program.stop() == 0
+    until(lambda: caller.closed)
+    assert caller.finals(ident) == [503] and program.lines("drained")
+
+
 # ---- the coordinator ----
 
 
@@ -371,6 +384,7 @@
     until(told)
     assert caller.finals(waiting) == [200] and program.lines("link_dead")
     assert {m["tag"] for m in server.of("FINISH")} == {standing}
+    until(lambda: len(server.links) == 3, "a link for what was released on the dead one")
 
 
 def test_a_link_that_is_merely_slow_keeps_its_set_ups(stage):
@@ -439,6 +453,20 @@
     assert len(lines) == MOST_WARNINGS + 1 and lines[-1].endswith("left_out_before=480")
 
 
+def test_timers_that_are_due_together_wake_the_loop_once():
+    """Guards against a loop that is woken, and its timer set, for each call anew."""
+    inside, woken, rung = Inside(), [], []
+    inside.core.wake = lambda: woken.append(1)
+    for n in range(1000):
+        due = 1000.5 + n / 1e6
+        inside.core.at(due, lambda due=due: rung.append(inside.now >= due))
+    assert len(woken) <= 2
+    inside.run(0.49)
+    assert not rung
+    inside.run(0.02)
+    assert len(rung) == 1000 and all(rung), "none rings before its time"
+
+
 def test_what_is_kept_of_servers_and_calls_goes_with_them():
     """Guards against memory that grows with each server and call that ever was."""
     now = [1000.0]
