Let a doubt that was right delay no further doubt, and find a silent link in 0.35 s

Between 5 and 15 s 7 to 14 of 100 calls were refused and 4 failed.

Checked: the log shows links cut off without a word to s- doubted at 11.87, 15.93 and 19.99 s, the last of them after 2.97 s of silence, and each found dead. Ruled out: the directory (one stop, left after 2.7 s as meant), the draining server (its doubted links are given nothing), the core (0.14 in a second), memory.

At fault: RosterSide._look doubles the wait before the next doubt, meant for servers that are merely slow, and promote and _second hand it on to the new link, also where the doubt had been right (_end_dead did not take it back).

Now _end_dead takes it back; links are looked at every 0.1 s, suspect after 0.35 s, and dead 0.2 s after the proof.

--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -26,12 +26,12 @@
 RETIRED_S = 10.0  # a link to a server that is gone is not kept longer, whatever is still open on it
 SURELY_S = 1.0  # a connection so much older than a server's start is to the process before
 PULLED = 64 * 1024  # bytes handed out at a time
-LOOK_S = 0.25  # how often the links are looked at for silence
-SILENT_S = 0.5  # a set-up that is open so long on a link that says nothing makes it suspect
+LOOK_S = 0.1  # how often the links are looked at for silence
+SILENT_S = 0.35  # a set-up that is open so long on a link that says nothing makes it suspect
 QUIET_S, QUIET_GAPS = 1.5, 3.0  # where calls stand: silence of so long, and so many gaps between states told
 LEFT_S = 10.0  # a link passed over is read so long, for the releases that come on it
 AGAIN_S = 0.1  # after a dead link has been ended
-APART_S = 0.3  # what comes on two links for the same cause may lie so far apart
+APART_S = 0.2  # what comes on two links for the same cause may lie so far apart
 DOUBT_S, LONGEST_DOUBT_S = 1.0, 16.0  # between two looks for another way to the same server
 MOST_TIMES = 3  # a release is written so often at most, should each connection break under it
 KEPT_S = 10.0  # releases written on a link that turns out to be dead are written again on the next
@@ -191,6 +191,9 @@
             self.core.counters.add("links_dead")
             self.core.log("link_dead", server=old.server.listing.instance, open=len(old.open))
             old.abort()
+            in_use = self.links.get(old.server.id)
+            if in_use is not None:  # the doubt was right: the next one need not wait
+                in_use.doubt_s, in_use.doubt_from = DOUBT_S, -math.inf
             self.core.at(self.core.clock() + AGAIN_S, partial(self._again, old.server))
 
     def _again(self, server: Server) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -415,6 +415,46 @@
     return core, side, links[0], aborted
 
 
+def test_a_link_that_falls_silent_again_is_doubted_as_soon_as_the_first():
+    """Guards against a doubt that was right and makes the next one wait: a server whose connections were cut
+    off one after the other was left without set-ups for 3 s (incident r4106c7).
+    """
+    now = [1000.0]
+    core, side, _, _ = a_link(now)
+    caller = TrunkFront(core).connect()
+
+    def silent_until_doubted():
+        """A set-up is written on the link in use and nothing is heard; returns how long that went on."""
+        link = side.links[1]
+        caller.receive(invite(ident=next(IDS), within="9000"))
+        while not link.pull():
+            now[0] += 0.01
+            core.tick()
+        since = now[0]
+        while not side.spares:
+            now[0] += 0.01
+            core.tick()
+            assert now[0] < since + 5, "it was not doubted"
+        spare = side.spares[1]
+        spare.connected()
+        for _ in range(3):
+            now[0] += 0.3
+            spare.receive(b'{"verb":"LOAD","tag":"","opts":{"load":"free:50;size:90"}}\n')
+            core.tick()
+        for each in list(side.left):  # as the driver does
+            each.lost()
+            side.drop(each)
+        return now[0] - since
+
+    first = silent_until_doubted()
+    for _ in range(3):
+        now[0] += 0.2
+        core.tick()
+        for spare in list(side.spares.values()):
+            spare.connected()
+        assert silent_until_doubted() < first + 0.2
+
+
 @pytest.mark.parametrize(("started", "ends"), [(999.9, False), (1004.0, True)])
 def test_a_link_from_before_a_servers_start_is_ended(started, ends):
     """Guards against a machine that vanished and came back: the old connection stays silent for good."""
