--- a/tests/peers.py
+++ b/tests/peers.py
@@ -205,7 +205,7 @@
     def _read(self) -> None:
         parser = sip.StreamParser()
         try:
-            while data := self.sock.recv(65536):
+            while data := self._recv():
                 if self.udp:
                     self.got.append((time.monotonic(), sip.parse_datagram(data)))
                     continue
@@ -216,6 +216,17 @@
             pass
         self.closed = True
 
+    def _recv(self) -> bytes:
+        """What comes next. A datagram port outlives an answer that there was nobody: a reader that ended on
+        it left its story waiting for what had long come.
+        """
+        while True:
+            try:
+                return self.sock.recv(65536)
+            except ConnectionRefusedError:
+                if not self.udp:
+                    raise
+
     def send(self, method: str, uri: str, headers: dict[str, str], body: bytes = b"") -> bytes:
         """Send a request; returns its bytes, to send them again."""
         data = sip.request(method, uri, list(headers.items()), body)
