Answer operators at a door of their own, and make draining a state that can be undone

Ruled out: the door (6 of 6 orders answered in time), load (0.2 of the core), connections left at 4 s (none was). Sockets are accepted by a watched reader: an accept that is cancelled may have taken a connection.

--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -28,10 +28,10 @@
 import uvloop
 
 from stairhatch.interface import Settings
-from stairhatch.node.console import PROMPT, Console
+from stairhatch.node.console import PROMPT, Console, Door
 from stairhatch.node.core import Core, Counters
 from stairhatch.node.directory import Directory, DirectoryError, apply_events, parse_address, read_events
-from stairhatch.node.net import Network
+from stairhatch.node.net import Bounds, Listening, Network
 from stairhatch.node.roster import RosterSide
 from stairhatch.node.sip_front import SipConfig, SipConfigError, SipFront, read_sip_config
 from stairhatch.node.syslog import Log
@@ -60,6 +60,7 @@
     sip: SipConfig | None = None  # the appliance's front
     coordinator: tuple[str, int] | None = None
     known: Any = None
+    console: tuple[str, int] | None = None  # the operators' door
     syslog: tuple[str, int] | str | None = None
     tracing: bool = False
 
@@ -89,6 +90,7 @@
             memory_mb=int(raw.get("limits", {}).get("memory_mb", 192)),
             listen=parse_address(environ.get("RELAY_LISTEN") or raw["listen"]),
             coordinator=parse_address(raw["coordinator"]),
+            console=_console(raw, environ),
             known=raw["known"],
             drain_s=PLATFORM_DRAIN_S,
             tracing=environ.get("STAIRHATCH_TRACE") == "1",
@@ -103,6 +105,12 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def _console(raw: dict[str, Any], environ: dict[str, str]) -> tuple[str, int] | None:
+    """The operators' door; the environment's word goes first."""
+    address = environ.get("RELAY_CONSOLE") or raw.get("console")
+    return parse_address(address) if address else None
+
+
 def read_appliance(path: str, environ: dict[str, str]) -> Config:
     """Read a file such as deploy/sip.toml."""
     try:
@@ -130,6 +138,7 @@
             sip=read_sip_config(raw["sip"], settings),
             coordinator=parse_address(coordinator) if coordinator else None,
             known={"index": len(listed) and 1, "updates": [first] if listed else []},
+            console=_console(raw, environ),
             syslog=syslog,
             tracing=environ.get("STAIRHATCH_TRACE") == "1" or bool(raw.get("trace", False)),
         )
@@ -177,9 +186,12 @@
         show(f"stairhatch: type help for the commands\n{PROMPT}")
 
 
+OPERATORS = Bounds(most=12, first_s=3.0, young_s=0.05)  # connections at the door, in descriptors of its own
+
+
 def most_callers(config: Config) -> int:
     """How many connections of callers are open at a time: three quarters of the descriptors, the others being
-    for roster servers and the coordinator, and no more than a quarter of the memory holds (32 KiB each).
+    for roster servers, the coordinator and the operators, and no more than a quarter of the memory holds.
     """
     return max(16, min(config.sockets * 3 // 4, config.memory_mb * 8))
 
@@ -199,6 +211,7 @@
         self.trunk: TrunkFront | None = None
         self.front: SipFront | None = None
         self.directory: Directory | None = None
+        self.callers: list[Listening] = []
         self.after = 0  # the number of the last event, where no directory counts
         self.reloaded = "never"
 
@@ -209,7 +222,9 @@
         try:
             if config.listen is not None:
                 self.trunk = TrunkFront(core)
-                network.listen(config.listen, self.trunk.connect, most=most_callers(config))
+                self.callers.append(
+                    network.listen(config.listen, self.trunk.connect, Bounds(most_callers(config)))
+                )
                 listening.append(f"{config.listen[0]}:{config.listen[1]}")
             if config.sip is not None:
                 front = self.front = SipFront(core, config.sip, lambda: secrets.token_hex(8))
@@ -218,10 +233,16 @@
                     network.datagrams(config.sip.udp, front.datagrams)
                     listening.append(f"udp:{config.sip.udp[0]}:{config.sip.udp[1]}")
                 if config.sip.tcp is not None:
-                    network.listen(config.sip.tcp, front.connect, most=config.sip.connections)
+                    bounds = Bounds(config.sip.connections)
+                    self.callers.append(network.listen(config.sip.tcp, front.connect, bounds))
                     listening.append(f"tcp:{config.sip.tcp[0]}:{config.sip.tcp[1]}")
+            if config.console is not None:
+                network.listen(config.console, lambda peer: Door(core), OPERATORS)
+                listening.append(f"console:{config.console[0]}:{config.console[1]}")
         except OSError as error:
             raise ConfigError(f"can't listen: {error.strerror}") from None
+        network.listeners = self.callers
+        core.listening = True
         return ",".join(listening)
 
     def follow(self) -> None:
@@ -232,8 +253,19 @@
             raise ConfigError(str(error)) from None
         if self.config.coordinator is not None:
             self.directory = Directory(self.core, self.config.coordinator, self.after)
+        else:
+            self.core.list_known = True
+        if self.directory is not None:
             self.network.spawn(self.network.follow(self.directory))
 
+    async def begin(self) -> None:
+        """Say when callers can be served: the list is known and each link has been tried."""
+        while not self.core.ending:
+            if not self.core.why_not():
+                self.log("serving", servers=len(self.core.servers))
+                return
+            await asyncio.sleep(0.01)
+
     def state(self) -> str:
         """What the console shows of the configuration and the directory."""
         text = f"reload     {self.reloaded}\n"
@@ -271,7 +303,7 @@
                 self.front.config = kept
             if self.front.config != new.sip:
                 later.append("sip")
-        for name in ("name", "listen", "settings", "sockets", "memory_mb", "syslog"):
+        for name in ("name", "listen", "console", "settings", "sockets", "memory_mb", "syslog"):
             if getattr(new, name) != getattr(old, name):
                 later.append(name)
         self.config = replace(
@@ -286,7 +318,7 @@
 
 
 async def run(config: Config, reread: Callable[[], Config]) -> None:
-    """Serve until SIGTERM, SIGINT or `drain`, then finish what was taken."""
+    """Serve until SIGTERM, SIGINT or `quit`, then finish what was taken."""
     service = Service(config, reread)
     core, network, log, counters = service.core, service.network, service.log, service.counters
     listening = service.listen()
@@ -298,6 +330,7 @@
     network.loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", **counters.counts))
     attach_console(network.loop, Console(core, stop.set, service.state))
     log("ready", name=config.name, listen=listening)
+    network.spawn(service.begin())
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
@@ -305,8 +338,8 @@
     stopped = network.loop.time()
     log("stopping", unanswered=core.unanswered)
     fronts = [each for each in (service.trunk, service.front) if each is not None]
-    for each in fronts:
-        each.draining = True
+    core.ending = True
+    core.drain(True)
     await asyncio.sleep(STAY_S)
     while core.unanswered or not all(each.flushed() for each in fronts):
         if core.unanswered and network.loop.time() - stopped > config.drain_s:
--- a/stairhatch/node/console.py
+++ b/stairhatch/node/console.py
@@ -1,5 +1,6 @@
-"""The terminal console: owns the line commands and the text they print. A state machine that is fed bytes and
-returns text. It must never answer a call or change a decision, and the end of its input ends nothing else.
+"""The operators' side: owns the line commands, the text they print, and the door, where one line a connection
+is answered `ok` or `fail`. State machines that are fed bytes. They must never answer a call or change a
+decision, and the end of their input ends nothing else.
 """
 
 from __future__ import annotations
@@ -7,8 +8,9 @@
 from collections.abc import Callable
 
 from stairhatch.interface import Standing
-from stairhatch.node.core import Core, Stage
+from stairhatch.node.core import Core, Machine, Stage
 
+MOST_ORDER = 128  # bytes of a line at the door
 PROMPT = "stairhatch> "
 MOST_LINE = 1024
 MOST_SHOWN = 50
@@ -20,18 +22,95 @@
 calls     calls that are being set up or stand (the first 50)
 counters  what was taken in, sent and answered, by kind
 trace     print a line for each step of each call: trace on, trace off
-drain     take no new calls, finish what was taken, then end
-quit      the same as drain
+check     whether new callers are served now: ok, or fail and why
+drain-on  send callers away: say no to tests, serve what was taken, end connections as they fall idle
+drain-off take callers again
+quit      drain, then end the program
 """
 
 
+def obey(core: Core, line: str) -> str:
+    """Carry out one of the operators' orders; returns the line that answers it."""
+    match line:
+        case "check":
+            pass
+        case "drain-on" | "drain-off":
+            if core.ending:
+                return "fail the program is ending"
+            core.drain(line == "drain-on")
+            if line == "drain-on":
+                return f"ok draining, {core.unanswered} calls are still to be answered"
+        case "":
+            return "fail an empty line; known are check, drain-on and drain-off"
+        case _:
+            shown = "".join(c if c.isascii() and c.isprintable() else "?" for c in line[:40])
+            return f"fail unknown order {shown}; known are check, drain-on and drain-off"
+    why = core.why_not()
+    if why:
+        return f"fail {why}"
+    ready = [s for s in core.servers.values() if s.listing.standing is Standing.READY]
+    return f"ok serving, {sum(s.connected for s in ready)} of {len(ready)} roster servers connected"
+
+
+class Door(Machine):
+    """One operator's connection: one line, one answer, and the end."""
+
+    def __init__(self, core: Core) -> None:
+        super().__init__()
+        self.core = core
+        self.data = b""
+        self.answer = b""
+
+    def owes(self) -> bool:
+        """Whether the answer waits to be written."""
+        return bool(self.answer)
+
+    def receive(self, data: bytes | memoryview) -> None:
+        """Bytes from the operator; what comes after the line is not read."""
+        if self.closing:
+            return
+        self.data += bytes(data)
+        line, end, _ = self.data.partition(b"\n")
+        if len(line) > MOST_ORDER:
+            self._say(f"fail a line longer than {MOST_ORDER} bytes")
+        elif end:
+            self._say(obey(self.core, line.decode("utf-8", "replace").strip()))
+
+    def ended(self) -> None:
+        """The operator will send no more."""
+        if not self.closing:
+            self._say("fail an unfinished line")
+
+    def expire(self) -> None:
+        """No whole line has come in time."""
+        self._say("fail no whole line came in time")
+
+    def put_out(self) -> bytes:
+        return b"fail too many are connected here\n"
+
+    def _say(self, text: str) -> None:
+        self.core.counters.add("orders_done" if text.startswith("ok") else "orders_failed")
+        order = self.data[:40].decode("ascii", "replace").strip()
+        if order != "check" or text.startswith("fail"):
+            self.core.log("order", line=order, answer=text)
+        self.answer, self.asked, self.closing = text.encode() + b"\n", True, True
+        self.wake()
+
+    def pull(self) -> bytes:
+        data, self.answer = self.answer, b""
+        return data
+
+    def lost(self) -> None:
+        """The connection has ended."""
+
+
 class Console:
     """One terminal."""
 
     def __init__(
-        self, core: Core, drain: Callable[[], None], service: Callable[[], str] = lambda: ""
+        self, core: Core, end: Callable[[], None], service: Callable[[], str] = lambda: ""
     ) -> None:
-        self.core, self.drain, self.service = core, drain, service
+        self.core, self.end, self.service = core, end, service
         self.started = core.clock()
         self._data = b""
 
@@ -61,9 +140,11 @@
             case ["trace", "on" | "off"]:
                 self.core.tracing = words[1] == "on"
                 return f"trace is {words[1]}\n"
-            case ["drain" | "quit" | "exit"]:
-                self.drain()
-                return f"draining: {self.core.unanswered} calls are still to be answered\n"
+            case ["check" | "drain-on" | "drain-off" as order]:
+                return obey(self.core, order) + "\n"
+            case ["quit" | "exit"]:
+                self.end()
+                return f"ending: {self.core.unanswered} calls are still to be answered\n"
         return f"unknown command {line.strip()[:40]!r}; try help\n"
 
     def _status(self) -> str:
@@ -76,8 +157,13 @@
         named = ("answers_stood", "answers_refused", "answers_failed", "calls_given_up")
         unusable = counts.get("requests_unusable", 0) + counts.get("malformed_from_callers", 0)
         stood, refused, failed, given_up = (counts.get(name, 0) for name in named)
+        why = core.why_not() or "serving"
+        if core.drain_since is not None:
+            why += f" for {core.clock() - core.drain_since:.1f} s, {core.unanswered} calls to be answered"
+            why += ", then the program ends" if core.ending else ""
         return (
             f"up {int(core.clock() - self.started)} s\n"
+            f"state      {why}\n"
             f"calls      {setting_up} being set up, {standing} standing\n"
             f"answered   {stood} stood, {refused} refused, {failed} failed, {given_up} given up by callers\n"
             f"servers    {ready} of {len(core.servers)} in service, {connected} connected\n"
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -25,6 +25,9 @@
 BACKSTOP_S = 0.01  # what the decisions have left unanswered so long after that is failed
 PAUSE_MARGIN_S = 0.02  # added to the pause after an unclear end: the two roads differ in length
 GRID_HZ = 256  # of the timers
+TURN_AWAY_S = 0.7  # so long into a drain new set-ups are refused, so that each connection empties
+HOLD_S = 3.6  # so long a drain keeps a connection for the releases of calls that stand, and no longer
+AWAY_S = 0.1  # what they are told to stay away for: another softswitch takes them
 REMEMBERED_S, REMEMBERED = 40.0, 20_000  # ids of calls that are over: a late message for one is no news
 ENDED, CUT, FULL, MOOT = 16, 41, 34, 102  # causes of a release
 ERRORS = (17, 47)
@@ -44,6 +47,7 @@
         self.abort: Callable[[], None] = idle  # end the connection at once; set by the driver
         self.closing = False
         self.asked = False  # a whole request has come on it
+        self.writing = False  # what was pulled is on its way; kept by the driver
 
     def owes(self) -> bool:
         """Whether an answer is owed on this connection, so that it must not be closed."""
@@ -58,6 +62,22 @@
         self.closing = True
         self.wake()
 
+    def ended(self) -> None:
+        """The peer will send no more."""
+
+    def put_out(self) -> bytes:
+        """The last word on a connection that has to go for a newcomer."""
+        return b""
+
+    def idle(self) -> bool:
+        """Whether nothing is owed or under way on it, so that a drain may end it."""
+        return not (self.owes() or self.writing or self.partial())
+
+    def leave(self) -> None:
+        """A drain ends the connection at an idle moment."""
+        self.closing = True
+        self.wake()
+
     def done(self) -> bool:
         """Whether the connection may be closed once all is written."""
         return self.closing
@@ -131,7 +151,8 @@
 
     id: int
     listing: Listing
-    connected: bool = False  # kept by the roster side, for those who look on
+    connected: bool = False  # these two are kept by the roster side
+    tried: bool = False  # a connection has come up, or failed to
 
 
 @dataclass(eq=False, slots=True)
@@ -196,6 +217,12 @@
         self.side: ServerSide
         self.orphan: list[Callable[[str, int], None]] = []  # where releases of unknown calls go
         self.wake: Callable[[], None] = idle  # the earliest timer has changed
+        self.listening = False  # the fronts take calls
+        self.list_known = False  # the directory has been heard
+        self.drain_since: float | None = None
+        self.ending = False  # the drain is for good
+        self.on_drain: Callable[[], None] = idle  # the driver ends what is idle
+        self._able = False
         self._over: OrderedDict[str, float] = OrderedDict()  # id -> when it ended, the longest ago first
         self._timers: dict[float, list[Callable[[], None]]] = {}  # by their time, on a grid
         self._due: list[float] = []  # a heap of these times
@@ -244,6 +271,53 @@
         if self._due[0] == due:
             self.wake()
 
+    # ---- whether calls are taken ----
+
+    def why_not(self) -> str:
+        """Why this process can't serve new callers now; "" if it can.
+
+        Once every listed server has been tried it is able for good: a server that dies is for the decisions,
+        and a `no` for its sake would take away callers that others can serve.
+        """
+        if self.drain_since is not None:
+            return "draining"
+        if not self.listening:
+            return "not listening"
+        if not self._able:
+            ready = [s for s in self.servers.values() if s.listing.standing is Standing.READY]
+            untried = [server.listing.instance for server in ready if not server.tried]
+            if not self.list_known:
+                return "the list of roster servers is not known yet"
+            if not ready:
+                return "no roster server is listed as ready"
+            if untried:
+                return f"not tried yet: {' '.join(untried)[:80]}"
+            self._able = True
+        return ""
+
+    def drain(self, on: bool) -> None:
+        """Begin to send callers away, or take them again. What was taken is served either way."""
+        if on is (self.drain_since is not None):
+            return
+        self.drain_since = self.clock() if on else None
+        self.counters.add("drains" if on else "drains_undone")
+        self.log("drain", state="on" if on else "off", unanswered=self.unanswered)
+        if on:
+            self.on_drain()
+
+    def turns_away(self) -> bool:
+        """Whether new set-ups are refused. A caller that never pauses would keep its connection for good."""
+        return self.drain_since is not None and self.clock() - self.drain_since >= TURN_AWAY_S
+
+    def holds(self) -> bool:
+        """Whether a drain keeps a way to tell callers of the end of their calls.
+
+        A process that ends keeps it only while it has calls to answer: the next one is told of the others.
+        """
+        if self.drain_since is None or self.clock() - self.drain_since >= HOLD_S:
+            return False
+        return self.unanswered > 0 or (not self.ending and len(self.calls) > self.unanswered)
+
     # ---- the directory ----
 
     def list_servers(self, lines: Iterable[Listing], complete: bool) -> None:
--- a/stairhatch/node/directory.py
+++ b/stairhatch/node/directory.py
@@ -15,6 +15,8 @@
 from stairhatch.interface import Standing
 from stairhatch.node.core import Core, Listing, Machine, idle
 
+FIRST_WAIT_MS = 50  # the first answer tells at once whether what was known at the start is the whole list
+HEARD_S = 1.5  # a coordinator that is not heard does not keep a softswitch that knows a list from serving
 WAIT_MS = 2000  # what is missed by a silent stop is asked for again so much sooner than with the longest wait
 WHOLE_S = WAIT_MS / 1000 + 0.7  # an answer that is not whole by then will not come on this connection
 MOST_BODY = 4 * 1024 * 1024
@@ -86,6 +88,11 @@
         self._parser: Any = None
         self._output = b""
         self._body = bytearray()
+        core.at(core.clock() + HEARD_S, self._unheard)
+
+    def _unheard(self) -> None:
+        """No answer so far: what was known at the start has to do."""
+        self.core.list_known = True
 
     def move(self, address: tuple[str, int]) -> None:
         """Another coordinator goes on with the same numbers: leave the old one, whatever it still holds."""
@@ -114,7 +121,8 @@
         self._body.clear()
         self._asked += 1
         self.core.at(self.core.clock() + WHOLE_S, partial(self._stalled, self._asked))
-        path = f"/v2/stream?follow={self.after}&wait_ms={WAIT_MS}"
+        wait_ms = WAIT_MS if self.core.list_known else FIRST_WAIT_MS
+        path = f"/v2/stream?follow={self.after}&wait_ms={wait_ms}"
         host = f"{self.address[0]}:{self.address[1]}"
         self._output = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
         self.wake()
@@ -159,6 +167,7 @@
         keep = self._parser.should_keep_alive()
         self.after = apply_events(self.core, answer, self.after)
         self.answers, self.told_at = self.answers + 1, self.core.clock()
+        self.core.list_known = True
         self.core.counters.add("directory_answers")
         if keep:
             self._ask()
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import errno
 import socket
 from collections import OrderedDict
 from collections.abc import Callable, Coroutine
@@ -29,6 +28,9 @@
 WHOLE_S = 2.0  # as must every further message, from its first byte
 SWEEP_S = 0.25  # how often these two are looked at
 YOUNG_S = 0.25  # a connection is not put out for others before it could have asked
+DRAIN_SWEEP_S = 0.02  # how often a drain looks for idle connections
+QUIET_S = 0.02  # so long after its last bytes one is idle: the ACK to its answer has come
+FRESH_S = 0.5  # a new connection is given so long to ask, in a drain too
 LINGER_S, LINGER_BYTES = 0.2, 256 * 1024  # what still comes is read after the last answer, so that it arrives
 
 
@@ -55,6 +57,7 @@
     """A connection taken from a caller."""
 
     machine: Machine
+    sock: socket.socket
     since: float
     last: float = 0.0  # when bytes last came
     begun: float = 0.0  # since when the rest of a message is awaited; 0: it is not
@@ -63,6 +66,126 @@
         self.last = self.since
 
 
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What those who connect to one address are allowed."""
+
+    most: int  # connections at a time
+    first_s: float = FIRST_S
+    young_s: float = YOUNG_S
+
+
+class Listening:
+    """A listening socket and the connections taken on it.
+
+    It is watched rather than awaited: an accept that is cancelled may have taken a connection, which would be
+    closed under its caller's request.
+    """
+
+    def __init__(self, network: Network, sock: socket.socket, accept: Accept, bounds: Bounds) -> None:
+        self.network, self.sock, self.accept, self.bounds = network, sock, accept, bounds
+        self.taken: OrderedDict[Taken, None] = OrderedDict()  # the longest idle comes first
+        self.watched = self.closed = False
+
+    def open(self) -> None:
+        """Begin to take connections."""
+        if not self.closed and not self.watched:
+            self.watched = True
+            self.network.loop.add_reader(self.sock, self._ready)
+            self.network.spawn(self._sweep())
+
+    def close(self) -> None:
+        """Take no more. Only this process's hold on the socket ends; what was taken goes on."""
+        if self.watched:
+            self.network.loop.remove_reader(self.sock)
+        self.closed = True
+        self.sock.close()
+
+    def _pause(self, seconds: float) -> None:
+        loop = self.network.loop
+        loop.remove_reader(self.sock)
+        loop.call_later(seconds, lambda: None if self.closed else loop.add_reader(self.sock, self._ready))
+
+    def _ready(self) -> None:
+        network = self.network
+        for _ in range(64):  # then others have their turn
+            if len(self.taken) >= self.bounds.most and not self._put_out():
+                self._pause(0.02)
+                return
+            try:
+                sock, peer = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                network.core.log("accept", why=str(error))
+                self._put_out()  # descriptors have run out
+                self._pause(0.05)
+                return
+            network.core.counters.add("connections_taken")
+            one = Taken(self.accept(peer), sock, network.loop.time())
+            self.taken[one] = None
+            network.spawn(self._serve(one))
+
+    async def _serve(self, one: Taken) -> None:
+        try:
+            await self.network._run(one.sock, one.machine, one, self.taken)
+        finally:
+            self.taken.pop(one, None)
+
+    def _put_out(self) -> bool:
+        """Make room for a newcomer: the longest idle goes that is owed no answer, silent ones first.
+
+        Guards against callers that connect and say nothing, or ask once and hold on, until no other can
+        connect. What was heard keeps its connection while a silent one can go.
+        """
+        old = self.network.loop.time() - self.bounds.young_s
+        idle_ones = [one for one in self.taken if one.last <= old and not one.machine.owes()]
+        one = next((one for one in idle_ones if not one.machine.asked), next(iter(idle_ones), None))
+        if one is None:
+            return False
+        del self.taken[one]
+        self.network.core.counters.add("connections_evicted")
+        if word := one.machine.put_out():
+            with contextlib.suppress(OSError):
+                one.sock.send(word)
+        one.machine.closing = True
+        one.machine.abort()
+        return True
+
+    async def _sweep(self) -> None:
+        """End the connections whose first request, or the rest of a message, has not come in time."""
+        while not self.closed or self.taken:
+            await asyncio.sleep(SWEEP_S)
+            now = self.network.loop.time()
+            for one in list(self.taken):
+                machine = one.machine
+                late_first = not machine.asked and now - one.since > self.bounds.first_s
+                if machine.closing or not (late_first or (one.begun and now - one.begun > WHOLE_S)):
+                    continue
+                self.network.core.counters.add("connections_expired")
+                machine.expire()
+
+    def end_idle(self) -> None:
+        """A drain: end what is idle, unless something has come on it that has not been read."""
+        now = self.network.loop.time()
+        for one in reversed(list(self.taken)):  # the busiest first: what stays for releases is used least
+            machine = one.machine
+            quiet = now - one.last >= QUIET_S if machine.asked else now - one.since >= FRESH_S
+            if machine.closing or not quiet or not machine.idle():
+                continue
+            try:
+                one.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+                continue  # bytes to be read first, or its end
+            except BlockingIOError:
+                pass
+            except OSError:
+                continue
+            self.network.core.counters.add("connections_drained")
+            with contextlib.suppress(OSError):
+                one.sock.shutdown(socket.SHUT_WR)  # at once, so that nothing can come in between
+            machine.leave()
+
+
 class Network:
     """The sockets of one softswitch."""
 
@@ -71,6 +194,9 @@
         self.loop = asyncio.get_running_loop()
         self.pool = Pool()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.listeners: list[Listening] = []  # of callers
+        self.emptying: asyncio.Task[None] | None = None
+        core.on_drain = self.empty
         self._timer: asyncio.TimerHandle | None = None
         core.wake = self._arm
         self._arm()
@@ -107,73 +233,33 @@
             self.core.counters.add("task_faults")
             self.core.log("fault", why=f"{type(error).__name__}: {error}")
 
-    def listen(self, address: tuple[str, int], accept: Accept, most: int) -> socket.socket:
-        """Take connections at an address; at most `most` are open at a time."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(512)
+    def listen(
+        self, at: tuple[str, int] | socket.socket, accept: Accept, bounds: Bounds, now: bool = True
+    ) -> Listening:
+        """Take connections at an address, or on a socket that somebody else has bound; later if not `now`."""
+        if isinstance(at, socket.socket):
+            sock = at
+        else:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(at)
+            sock.listen(512)
         sock.setblocking(False)
-        self.spawn(self._accept(sock, accept, most))
-        return sock
-
-    async def _accept(self, listener: socket.socket, accept: Accept, most: int) -> None:
-        taken: OrderedDict[Taken, None] = OrderedDict()  # the longest idle comes first
-
-        async def serve(sock: socket.socket, one: Taken) -> None:
-            try:
-                await self._run(sock, one.machine, one, taken)
-            finally:
-                taken.pop(one, None)
-
-        self.spawn(self._sweep(taken))
-        while True:
-            if len(taken) >= most and not self._put_out(taken):
-                await asyncio.sleep(0.02)
-                continue
-            try:
-                sock, peer = await self.loop.sock_accept(listener)
-            except OSError as error:
-                if error.errno == errno.EBADF:
-                    return
-                self.core.log("accept", why=str(error))
-                self._put_out(taken)  # descriptors have run out
-                await asyncio.sleep(0.05)
-                continue
-            self.core.counters.add("connections_taken")
-            one = Taken(accept(peer), self.loop.time())
-            taken[one] = None
-            self.spawn(serve(sock, one))
-
-    def _put_out(self, taken: OrderedDict[Taken, None]) -> bool:
-        """Make room for a newcomer: the longest idle goes that is owed no answer, silent ones first.
-
-        Guards against callers that connect and say nothing, or ask once and hold on, until no other can
-        connect. What was heard keeps its connection while a silent one can go.
-        """
-        old = self.loop.time() - YOUNG_S
-        idle_ones = [one for one in taken if one.last <= old and not one.machine.owes()]
-        one = next((one for one in idle_ones if not one.machine.asked), next(iter(idle_ones), None))
-        if one is None:
-            return False
-        del taken[one]
-        self.core.counters.add("connections_evicted")
-        one.machine.closing = True
-        one.machine.abort()
-        return True
-
-    async def _sweep(self, taken: OrderedDict[Taken, None]) -> None:
-        """End the connections whose first request, or the rest of a message, has not come in time."""
-        while True:
-            await asyncio.sleep(SWEEP_S)
-            now = self.loop.time()
-            for one in list(taken):
-                machine = one.machine
-                late_first = not machine.asked and now - one.since > FIRST_S
-                if machine.closing or not (late_first or (one.begun and now - one.begun > WHOLE_S)):
-                    continue
-                self.core.counters.add("connections_expired")
-                machine.expire()
+        listening = Listening(self, sock, accept, bounds)
+        if now:
+            listening.open()
+        return listening
+
+    def empty(self) -> None:
+        """A drain has begun: end what is idle until it is undone."""
+        if self.emptying is None or self.emptying.done():
+            self.emptying = self.spawn(self._empty())
+
+    async def _empty(self) -> None:
+        while self.core.drain_since is not None:
+            for listening in self.listeners:
+                listening.end_idle()
+            await asyncio.sleep(DRAIN_SWEEP_S)
 
     async def _run(
         self,
@@ -200,6 +286,9 @@
             while True:
                 size = await self.loop.sock_recv_into(sock, buffer)
                 if not size:
+                    machine.ended()
+                    if machine.done():  # its last word
+                        await asyncio.wait([writer], timeout=FLUSH_S)
                     break
                 machine.receive(memoryview(buffer)[:size])
                 if machine.done():
@@ -244,7 +333,9 @@
                 await wake.wait()
                 wake.clear()
                 while data := machine.pull():
+                    machine.writing = True
                     await self.loop.sock_sendall(sock, data)
+                    machine.writing = False
                 if machine.done():
                     sock.shutdown(socket.SHUT_WR)
                     self.loop.call_later(LINGER_S, abort)
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -298,7 +298,7 @@
         self.data.clear()
         self.spoilt, self.up_at = False, self.side.core.clock()
         self.heard_at, self.states = -math.inf, 0
-        self.server.connected, self.told_unreached = True, False
+        self.server.connected, self.server.tried, self.told_unreached = True, True, False
         if self.side.is_spare(self):
             self.side.promote(self)
         self.side.core.counters.add("roster_connections")
@@ -308,6 +308,7 @@
         """A connection did not come up. A refused one proves that the process is gone, with its calls."""
         core = self.side.core
         core.counters.add("roster_connections_failed")
+        self.server.tried = True
         if self.side.is_spare(self) or self in self.side.left:
             self.retired = True  # the link in use goes on; that it is refused one more proves nothing
             return
--- a/stairhatch/node/sip_front.py
+++ b/stairhatch/node/sip_front.py
@@ -17,7 +17,7 @@
 
 from stairhatch.interface import Settings
 from stairhatch.node import roster, sip
-from stairhatch.node.core import ENDED, Call, Core, Machine, Offer
+from stairhatch.node.core import AWAY_S, ENDED, Call, Core, Machine, Offer
 from stairhatch.node.directory import DirectoryError, parse_address
 from stairhatch.node.trunk_front import called_number, release_cause
 
@@ -150,6 +150,11 @@
             self.front.malformed(self, sip.SipError(408, "the rest of a message never came", begun))
         super().expire()
 
+    def leave(self) -> None:
+        """Nothing more goes this way: what is due to the peer later is dialled or sent by UDP."""
+        self._forsake()
+        super().leave()
+
     def send(self, data: bytes) -> None:
         self.output.append(data)
         self.size += len(data)
@@ -181,10 +186,14 @@
 
     def lost(self) -> None:
         """The connection has ended. Calls and dialogs live on: they are reached another way."""
+        self._forsake()
+        self.front.core.counters.add("connections_lost")
+
+
+    def _forsake(self) -> None:
         self.alive = False
         if self.front.connections.get(self.peer) is self:  # the peer may have come again
             del self.front.connections[self.peer]
-        self.front.core.counters.add("connections_lost")
 
 
 # ---- transactions and dialogs ----
@@ -245,7 +254,6 @@
         self.connections: dict[Address, SipConnection] = {}
         self.datagrams = SipDatagrams(self)
         self.dial: Callable[[SipConnection], None] = lambda connection: None  # set by the wiring
-        self.draining = False
 
     # ---- what comes in ----
 
@@ -335,8 +343,9 @@
     def _limits(self, flow: Flow, message: sip.Message) -> bool:
         """Whether a new request may open a transaction; else it is answered without one."""
         status, extra = 0, []
-        if message.method == "INVITE" and self.draining:
-            status, extra = 503, [("retry-after", "5")]
+        if message.method == "INVITE" and self.core.turns_away():
+            status, extra = 503, [("retry-after", str(max(1, math.ceil(AWAY_S))))]
+            self.core.counters.add("calls_turned_away")
         elif len(self.transactions) >= MOST_TRANSACTIONS:
             status, extra = 503, [("retry-after", "2")]
             self.core.counters.add("table_full")
@@ -375,7 +384,7 @@
         elif method == "BYE":
             self._bye(transaction)
         elif method == "OPTIONS":
-            self.final(transaction, 503 if self.draining else 200, [ALLOW, ("accept", MEDIA)])
+            self.final(transaction, 503 if self.core.why_not() else 200, [ALLOW, ("accept", MEDIA)])
         else:
             self.final(transaction, 405, [ALLOW])
 
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -10,11 +10,12 @@
 from functools import lru_cache, partial
 
 from stairhatch.node import roster, sip
-from stairhatch.node.core import ENDED, Call, Core, Machine, Offer
+from stairhatch.node.core import AWAY_S, ENDED, Call, Core, Machine, Offer
 
 MOST_OUTPUT = 128 * 1024  # a caller that reads so much too slowly is cut off
 RELEASE_KEPT_S = 30.0  # how long a release waits for a caller to connect
 HEARD_S = 0.3  # a release that is not heard within this time goes on another connection
+GREET_S = 0.1  # a connection that is silent so long is a caller's
 MOST_TRIES = 4
 MOST_RELEASES = 8192  # not heard yet
 MOST_FAULTS = 8  # a connection with so many requests that can't be used is ended
@@ -79,18 +80,28 @@
         self.connections: dict[TrunkConnection, None] = {}  # the last that spoke comes last
         self.calls: dict[str, TrunkCall] = {}
         self.releases: dict[str, Release] = {}
-        self.draining = False
         self.branch = 0
         core.orphan.append(self.release)
 
     def connect(self, peer: tuple[str, int] = ("", 0)) -> TrunkConnection:
-        """A caller has connected. Releases that found no connection at all go to it."""
+        """Somebody has connected: a caller, or a front that asks for a test and goes again."""
         connection = TrunkConnection(self)
         self.connections[connection] = None
+        self.core.at(self.core.clock() + GREET_S, partial(self.greet, connection, False))
+        return connection
+
+    def greet(self, connection: TrunkConnection, spoken: bool = True) -> None:
+        """It is a caller's connection. Releases that found no connection at all go to it.
+
+        Guards against a front that opens one to ask for a test: it got the releases due before the answer to
+        its OPTIONS, took that for a `no`, and none of them came to a caller (drain, snapshot 0737b4e5).
+        """
+        if connection.caller or connection not in self.connections or (connection.requests and not spoken):
+            return
+        connection.caller = True
         for ident, release in list(self.releases.items()):
             if not release.tried:
                 self._tell(ident, release, connection)
-        return connection
 
     def release(self, ident: str, cause: int, own: TrunkConnection | None = None) -> None:
         """Tell the caller that a call is over: on the call's own connection while that is open."""
@@ -108,11 +119,14 @@
         that asks once, and 161 ends of calls were told to such alone (churn).
         """
         now = self.core.clock()
+        if self.core.drain_since is not None:
+            release.since = now  # kept for the next caller, however long the drain
         if now - release.since > RELEASE_KEPT_S or len(release.tried) >= MOST_TRIES:
             self.releases.pop(ident, None)
             self.core.counters.add("releases_unheard")
             return
-        connection = first if first in self.connections else self._listener(release)
+        own = first is not None and first in self.connections and not first.closing
+        connection = first if own else self._listener(release)
         if connection is not None:
             release.tried.append(connection)
             connection.bye(ident, release.cause)
@@ -130,9 +144,11 @@
         best, found = (-1, -1), None
         for connection in self.connections:  # of equals the one that spoke last
             value = (connection.heard, min(connection.requests, 8))
-            if not connection.closing and connection not in release.tried and value >= best:
+            fit = connection.caller and not connection.closing
+            if fit and connection not in release.tried and value >= best:
                 best, found = value, connection
-        return found or next((c for c in reversed(release.tried) if c in self.connections), None)
+        again = (c for c in reversed(release.tried) if c in self.connections and not c.closing)
+        return found or next(again, None)
 
     def flushed(self) -> bool:
         """Whether all output has been handed to the driver, and the releases sent have been heard."""
@@ -181,6 +197,7 @@
         self.open: dict[str, TrunkCall] = {}  # set-ups without a final answer
         self.byes: set[str] = set()  # releases sent here and not yet heard
         self.requests = 0
+        self.caller = False  # something other than a test has come on it, or nothing for a while
         self.heard = 0  # 1 once a release was heard on it
         self.faults = 0  # requests that could not be used
         self.parser = sip.StreamParser()
@@ -193,6 +210,22 @@
         """Whether the rest of a message is awaited."""
         return self.parser.partial()
 
+    def idle(self) -> bool:
+        """Also that no release sent on it has yet to be heard, and that another connection is left for those
+        of calls that stand.
+
+        Guards against ends of calls that reach no caller: all connections were ended within 0.7 s, and 98
+        calls that ended later were told when the drain was over (drain, snapshot 9aeb490d).
+        """
+        told = (self.front.releases.get(ident) for ident in self.byes)
+        unheard = any(r is not None and r.tried and r.tried[-1] is self for r in told)
+        return super().idle() and not unheard and not (self.front.core.holds() and self._last_ear())
+
+    def _last_ear(self) -> bool:
+        """Whether no other connection is as likely to be read."""
+        others = (c for c in self.front.connections if c is not self and c.caller and not c.closing)
+        return self.caller and not any(other.heard >= self.heard for other in others)
+
     def expire(self) -> None:
         """A message has not come whole in time: its request is answered, if its head could be read."""
         begun = self.parser.begun
@@ -281,6 +314,8 @@
         if known and not self._usable(message, ident):
             self._unusable(message, 400)
             return
+        if known and method != "OPTIONS" and not self.caller:
+            front.greet(self)
         match method:
             case "":
                 if message.cseq()[1] == "BYE" and ident in self.byes:
@@ -304,7 +339,7 @@
                     front.core.release_unknown(ident, release_cause(message))
                 self.respond(message, 200, [])
             case "OPTIONS":
-                self.respond(message, 503 if front.draining else 200, [])
+                self.respond(message, 503 if front.core.why_not() else 200, [])
             case "ACK" | "NOTIFY":
                 pass
             case _:
@@ -354,6 +389,10 @@
         if ident in front.calls or front.core.was_over(ident):
             self._unusable(message, 482)  # every set-up has an id of its own, a repeat too
             return
+        if front.core.turns_away():
+            front.core.counters.add("calls_turned_away")
+            self.respond(message, 503, [("come-back-ms", str(int(AWAY_S * 1000)))])
+            return
         offer = Offer(
             ident=ident,
             kind=kind,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -204,6 +204,7 @@
 def test_a_test_is_passed_and_other_methods_are_refused(stage):
     """Guards against a front that never takes the softswitch in."""
     program, _, _ = stage(None)
+    program.serves()
     caller = program.caller()
     caller.send("OPTIONS", "sip:ping@net", {"call-id": "p", "cseq": "1 OPTIONS"})
     caller.send("REFER", "sip:ping@net", {"call-id": "q", "cseq": "1 REFER"})
