--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -39,7 +39,9 @@
 from stairhatch.settings import SettingsError, settings_from
 
 STAY_S = 1.0  # after SIGTERM: connections come for 0.4 s, requests on them for 0.2 s more
-PLATFORM_DRAIN_S = 3.4  # its SIGKILL may come 3.7 s after SIGTERM, however long the deadlines are
+LEAVE_S = 0.4  # a planned restart's SIGKILL comes 0.7 s after the longest deadline, which counts as ...
+RESTART_S, UPGRADE_S = 3.0, 5.0  # ... so much where it is longer, and so much where a process follows
+HAND_OVER_S = 2.0  # so long into an upgrade a caller that never pauses is sent to the new process
 
 
 class ConfigError(ValueError):
@@ -55,8 +57,9 @@
     seed: str = ""
     sockets: int = 1024
     memory_mb: int = 192
-    drain_s: float = math.inf  # what is unanswered so long after SIGTERM is answered then
+    drain_s: float = math.inf  # what is unanswered so long after SIGTERM is answered then, if not before
     listen: tuple[str, int] | None = None  # the platform's front
+    inherited: int | None = None  # the descriptor of its socket, where the platform owns that
     sip: SipConfig | None = None  # the appliance's front
     coordinator: tuple[str, int] | None = None
     known: Any = None
@@ -82,6 +85,7 @@
         raise ConfigError("RELAY_CONFIG is not set: it names the configuration file")
     try:
         raw = json.loads(_read(path))
+        inherited = int(environ["RELAY_INHERITED_FD"]) if environ.get("RELAY_INHERITED_FD") else None
         return Config(
             name=str(environ.get("RELAY_NAME") or raw["name"]),
             settings=settings_from(raw["settings"])[0],
@@ -92,7 +96,8 @@
             coordinator=parse_address(raw["coordinator"]),
             console=_console(raw, environ),
             known=raw["known"],
-            drain_s=PLATFORM_DRAIN_S,
+            drain_s=(RESTART_S if inherited is None else UPGRADE_S),
+            inherited=inherited,
             tracing=environ.get("STAIRHATCH_TRACE") == "1",
         )
     except ConfigError:
@@ -192,8 +197,21 @@
 def most_callers(config: Config) -> int:
     """How many connections of callers are open at a time: three quarters of the descriptors, the others being
     for roster servers, the coordinator and the operators, and no more than a quarter of the memory holds.
+    Half of that where another process may serve beside this one, since both count together.
     """
-    return max(16, min(config.sockets * 3 // 4, config.memory_mb * 8))
+    most = min(config.sockets * 3 // 4, config.memory_mb * 8)
+    return max(16, most if config.inherited is None else most // 2)
+
+
+def inherit(descriptor: int) -> socket.socket:
+    """The listening socket that the platform owns: it is never bound, shut down or unlinked here."""
+    try:
+        sock = socket.socket(fileno=descriptor)
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise ConfigError(f"RELAY_INHERITED_FD: descriptor {descriptor} does not listen")
+    except (OSError, ValueError, OverflowError) as error:
+        raise ConfigError(f"RELAY_INHERITED_FD: descriptor {descriptor}: {error}") from None
+    return sock
 
 
 class Service:
@@ -222,9 +240,9 @@
         try:
             if config.listen is not None:
                 self.trunk = TrunkFront(core)
-                self.callers.append(
-                    network.listen(config.listen, self.trunk.connect, Bounds(most_callers(config)))
-                )
+                at = config.listen if config.inherited is None else inherit(config.inherited)
+                bounds = Bounds(most_callers(config))
+                self.callers.append(network.listen(at, self.trunk.connect, bounds, config.inherited is None))
                 listening.append(f"{config.listen[0]}:{config.listen[1]}")
             if config.sip is not None:
                 front = self.front = SipFront(core, config.sip, lambda: secrets.token_hex(8))
@@ -242,7 +260,7 @@
         except OSError as error:
             raise ConfigError(f"can't listen: {error.strerror}") from None
         network.listeners = self.callers
-        core.listening = True
+        core.listening = config.inherited is None
         return ",".join(listening)
 
     def follow(self) -> None:
@@ -259,12 +277,42 @@
             self.network.spawn(self.network.follow(self.directory))
 
     async def begin(self) -> None:
-        """Say when callers can be served: the list is known and each link has been tried."""
-        while not self.core.ending:
-            if not self.core.why_not():
-                self.log("serving", servers=len(self.core.servers))
-                return
+        """Once the list is known and each link has been tried: accept on a socket shared with another
+        process, and say that callers are served.
+        """
+        while self.core.awaits():
+            await asyncio.sleep(0.01)
+        if not self.core.ending:
+            for listening in self.callers:
+                listening.open()
+            self.core.listening = True
+            self.log("serving", servers=len(self.core.servers))
+
+    async def end(self) -> None:
+        """SIGTERM: drain for good, until nothing is owed. The drain is that of `drain-on`."""
+        core, started = self.core, self.network.loop.time()
+        self.log("stopping", unanswered=core.unanswered)
+        core.ending = True
+        if self.config.inherited is not None:  # the next process takes who comes from now on
+            core.listening, core.turn_away_s = False, HAND_OVER_S
+            for listening in self.callers:
+                listening.close()
+        core.drain(True)
+        longest = max((kind.deadline_s for kind in core.settings.classes), default=0.0)
+        last = started + min(longest, self.config.drain_s) + LEAVE_S if self.trunk else math.inf
+        if self.config.inherited is None:
+            await asyncio.sleep(STAY_S)
+        fronts = [each for each in (self.trunk, self.front) if each is not None]
+        while not core.settled() or not all(each.flushed() for each in fronts):
+            if core.unanswered and self.network.loop.time() >= last:
+                self.log("drained", unanswered=core.unanswered)
+                core.answer_all()
             await asyncio.sleep(0.01)
+        if self.config.inherited is not None:
+            core.leave()
+            while not self.network.emptied() and self.network.loop.time() < last:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)  # what was handed to the sockets last is written
 
     def state(self) -> str:
         """What the console shows of the configuration and the directory."""
@@ -320,7 +368,7 @@
 async def run(config: Config, reread: Callable[[], Config]) -> None:
     """Serve until SIGTERM, SIGINT or `quit`, then finish what was taken."""
     service = Service(config, reread)
-    core, network, log, counters = service.core, service.network, service.log, service.counters
+    network, log, counters = service.network, service.log, service.counters
     listening = service.listen()
     service.follow()
     stop = asyncio.Event()
@@ -328,25 +376,14 @@
         network.loop.add_signal_handler(name, stop.set)
     network.loop.add_signal_handler(signal.SIGHUP, service.reload)
     network.loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", **counters.counts))
-    attach_console(network.loop, Console(core, stop.set, service.state))
+    attach_console(network.loop, Console(service.core, stop.set, service.state))
     log("ready", name=config.name, listen=listening)
     network.spawn(service.begin())
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     await stop.wait()
-    stopped = network.loop.time()
-    log("stopping", unanswered=core.unanswered)
-    fronts = [each for each in (service.trunk, service.front) if each is not None]
-    core.ending = True
-    core.drain(True)
-    await asyncio.sleep(STAY_S)
-    while core.unanswered or not all(each.flushed() for each in fronts):
-        if core.unanswered and network.loop.time() - stopped > config.drain_s:
-            log("drained", unanswered=core.unanswered)
-            core.answer_all()
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(0.05)  # what was handed to the sockets last is written
+    await service.end()
     log("counters", lines_left_out=log.left_out, **counters.counts)
     log.close()
 
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -110,6 +110,8 @@
     def listed(self, server: Server) -> None: ...
     def set_up(self, attempt: Attempt) -> None: ...
     def finish(self, server: Server, ident: str, cause: int) -> None: ...
+    def leave(self) -> None: ...
+    def flushed(self) -> bool: ...
 
 
 class Stage(Enum):
@@ -221,6 +223,8 @@
         self.list_known = False  # the directory has been heard
         self.drain_since: float | None = None
         self.ending = False  # the drain is for good
+        self.leaving = False  # and all that was taken is answered
+        self.turn_away_s = TURN_AWAY_S
         self.on_drain: Callable[[], None] = idle  # the driver ends what is idle
         self._able = False
         self._over: OrderedDict[str, float] = OrderedDict()  # id -> when it ended, the longest ago first
@@ -281,18 +285,21 @@
         """
         if self.drain_since is not None:
             return "draining"
-        if not self.listening:
-            return "not listening"
-        if not self._able:
-            ready = [s for s in self.servers.values() if s.listing.standing is Standing.READY]
-            untried = [server.listing.instance for server in ready if not server.tried]
-            if not self.list_known:
-                return "the list of roster servers is not known yet"
-            if not ready:
-                return "no roster server is listed as ready"
-            if untried:
-                return f"not tried yet: {' '.join(untried)[:80]}"
-            self._able = True
+        return self.awaits() or ("" if self.listening else "not listening")
+
+    def awaits(self) -> str:
+        """What has to come before calls can be set up; "" once they can."""
+        if self._able:
+            return ""
+        ready = [s for s in self.servers.values() if s.listing.standing is Standing.READY]
+        untried = [server.listing.instance for server in ready if not server.tried]
+        if not self.list_known:
+            return "the list of roster servers is not known yet"
+        if not ready:
+            return "no roster server is listed as ready"
+        if untried:
+            return f"not tried yet: {' '.join(untried)[:80]}"
+        self._able = True
         return ""
 
     def drain(self, on: bool) -> None:
@@ -307,16 +314,25 @@
 
     def turns_away(self) -> bool:
         """Whether new set-ups are refused. A caller that never pauses would keep its connection for good."""
-        return self.drain_since is not None and self.clock() - self.drain_since >= TURN_AWAY_S
+        return self.drain_since is not None and self.clock() - self.drain_since >= self.turn_away_s
 
     def holds(self) -> bool:
         """Whether a drain keeps a way to tell callers of the end of their calls.
 
-        A process that ends keeps it only while it has calls to answer: the next one is told of the others.
+        A process that ends keeps it until it leaves: the next one is told of the calls that live on.
         """
         if self.drain_since is None or self.clock() - self.drain_since >= HOLD_S:
             return False
-        return self.unanswered > 0 or (not self.ending and len(self.calls) > self.unanswered)
+        return not self.leaving if self.ending else bool(self.calls)
+
+    def settled(self) -> bool:
+        """Whether every call has its answer, and the servers what they have to hear of it."""
+        return not self.unanswered and self.side.flushed()
+
+    def leave(self) -> None:
+        """All is answered: the process that follows is told of calls that stand, and takes who still asks."""
+        self.leaving, self.turn_away_s = True, 0.0
+        self.side.leave()
 
     # ---- the directory ----
 
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -250,6 +250,10 @@
             listening.open()
         return listening
 
+    def emptied(self) -> bool:
+        """Whether no caller is connected any more."""
+        return not any(listening.taken for listening in self.listeners)
+
     def empty(self) -> None:
         """A drain has begun: end what is idle until it is undone."""
         if self.emptying is None or self.emptying.done():
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -75,6 +75,7 @@
         self.core, self.dial = core, dial
         self.links: dict[int, RosterLink] = {}  # the one in use, by the server's id
         self.spares: dict[int, RosterLink] = {}  # dialled because that one keeps silent
+        self.over = False  # another process goes on
         self.left: list[RosterLink] = []  # passed over for a spare; what is open there may still be answered
         core.side = self
         core.at(core.clock() + LOOK_S, self._look)
@@ -86,6 +87,8 @@
             for each in self._all(server):
                 each.retire()
             return
+        if self.over:
+            return
         if link is None:
             link = self.links[server.id] = RosterLink(self, server)
             self.dial(link)
@@ -116,6 +119,22 @@
         link.queue.append(Release(_line({"verb": "FINISH", "tag": ident, "opts": {}, "rc": cause})))
         link.wake()
 
+    def leave(self) -> None:
+        """Another process goes on: what the servers have to tell from now on comes on its links.
+
+        Guards against ends of calls that come here after the last caller has gone, and are told to nobody.
+        """
+        self.over = True
+        for link in [*self.links.values(), *self.spares.values(), *self.left]:
+            link.retire()
+            link.queue.clear()
+            link.written.clear()
+            link.abort()
+
+    def flushed(self) -> bool:
+        """Whether all that can be written has been taken to be written."""
+        return not any(link.queue and link.up_at < math.inf for link in self.links.values())
+
     def _all(self, server: Server) -> list[RosterLink]:
         """Every link to a server."""
         here = [links[server.id] for links in (self.links, self.spares) if server.id in links]
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -141,6 +141,7 @@
         self.asked: list[int] = []
         self.spoil: list[str] = []  # what becomes of the next answers: "break" or "stop" within them
         self.changed = threading.Condition()
+        self.held = False  # takes connections and answers nothing
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -158,6 +159,12 @@
             self.changed.notify_all()
         until(lambda: index in self.asked, "the next poll")
 
+    def release(self) -> None:
+        """Answer what is held."""
+        with self.changed:
+            self.held = False
+            self.changed.notify_all()
+
     def _accept(self) -> None:
         while True:
             link, _ = self.listener.accept()
@@ -169,9 +176,12 @@
             if not line.startswith(b"GET "):
                 continue
             after = int(line.split(b"follow=")[1].split(b"&")[0])
+            wait_s = 30 if self.held else int(line.split(b"wait_ms=")[1].split(b" ")[0]) / 1000
             self.asked.append(after)
             with self.changed:
-                self.changed.wait_for(lambda after=after: len(self.events) > after, timeout=5)
+                self.changed.wait_for(
+                    lambda after=after: len(self.events) > after and not self.held, timeout=wait_s
+                )
                 later = self.events[after:]
             body = json.dumps({"index": after + len(later), "updates": later}).encode()
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
@@ -284,10 +294,24 @@
             return int(tcp.getsockname()[1])
 
 
+def platform_config(
+    coordinator: Coordinator, port: int, door: int, settings: dict | None = None, sockets: int = 1024
+) -> dict:
+    """The platform's configuration."""
+    return {
+        "name": "n0", "listen": f"127.0.0.1:{port}", "console": f"127.0.0.1:{door}", "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "coordinator": f"127.0.0.1:{coordinator.port}", "known": coordinator.known(),
+        "settings": settings or SETTINGS,
+    }  # fmt: skip
+
+
 class Program:
     """The real program, started as the deploy file does."""
 
-    def __init__(self, folder: Path, *arguments: str, **environ: str) -> None:
+    def __init__(
+        self, folder: Path, *arguments: str, keeps: tuple[int, ...] = (), **environ: str
+    ) -> None:
         self.path = folder  # of the configuration, once there is one
         self.log = folder / f"log-{time.monotonic_ns()}.txt"
         env = {**os.environ, "STAIRHATCH_TRACE": "1", "TMPDIR": str(folder), **environ}
@@ -295,6 +319,7 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "stairhatch", *arguments],
                 cwd=ROOT, env=env, stdin=subprocess.PIPE, stdout=file, stderr=file,
+                pass_fds=keeps,
             )  # fmt: skip
 
     @classmethod
@@ -303,11 +328,7 @@
     ) -> Program:
         """Start it with the platform's configuration."""
         port, door = free_port(), free_port()
-        config = {
-            "name": "n0", "listen": f"127.0.0.1:{port}", "seed": "1", "limits": {"sockets": sockets},
-            "coordinator": f"127.0.0.1:{coordinator.port}", "known": coordinator.known(),
-            "settings": settings or SETTINGS, "console": f"127.0.0.1:{door}",
-        }  # fmt: skip
+        config = platform_config(coordinator, port, door, settings, sockets)
         path = folder / "config.json"
         path.write_text(json.dumps(config))
         program = cls(folder, RELAY_CONFIG=str(path)).ready(port, door)
@@ -316,6 +337,21 @@
         program.path = path
         return program
 
+    @classmethod
+    def on_socket(cls, folder: Path, sock: socket.socket, coordinator: Coordinator, known: dict) -> Program:
+        """Start it beside others on a socket that the platform owns, with a door of its own."""
+        port, door = sock.getsockname()[1], free_port()
+        path = folder / "config.json"
+        path.write_text(json.dumps({**platform_config(coordinator, port, 1), "known": known}))
+        program = cls(
+            folder, keeps=(sock.fileno(),), RELAY_CONFIG=str(path), RELAY_CONSOLE=f"127.0.0.1:{door}",
+            RELAY_INHERITED_FD=str(sock.fileno()),
+        ).ready(port, door)  # fmt: skip
+        if program is None:
+            return cls.on_socket(folder, sock, coordinator, known)
+        program.path = path
+        return program
+
     @classmethod
     def as_appliance(cls, folder: Path, *servers: RosterServer, syslog: str = "") -> Program:
         """Start it by a copy of deploy/sip.toml with ports of its own."""
@@ -433,6 +469,13 @@
         if self.core.may_write(attempt) is not None:
             self.written.append(attempt)
 
+    def leave(self) -> None:
+        """The process is about to go."""
+
+    def flushed(self) -> bool:
+        """All is written at once."""
+        return True
+
     def finish(self, server: object, ident: str, cause: int) -> None:
         """A set-up given up, or a call released."""
         self.finishes.append((ident, cause))
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,11 +4,14 @@
 
 from __future__ import annotations
 
+import json
 import socket
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
+from stairhatch.__main__ import Config, most_callers
 from stairhatch.interface import Standing
 from stairhatch.node import sip
 from stairhatch.node.console import MOST_ORDER, Door
@@ -17,7 +20,17 @@
 from stairhatch.node.roster import RosterSide
 from stairhatch.node.trunk_front import GREET_S, TrunkFront
 
-from .peers import Caller, Coordinator, Inside, Program, RosterServer, instance, sip_headers, until
+from .peers import (
+    Caller,
+    Coordinator,
+    Inside,
+    Program,
+    RosterServer,
+    instance,
+    platform_config,
+    sip_headers,
+    until,
+)  # fmt: skip
 
 IDS = iter(f"{n:016x}" for n in range(0x0A0001, 0x0A9999))
 SILENT = RosterServer.silent
@@ -110,8 +123,6 @@
     core.servers.clear()
     core.by_instance.clear()
     core.listening = core.list_known = False
-    assert "not listening" in core.why_not()
-    core.listening = True
     assert "list" in core.why_not()
     core.list_known = True
     assert "no roster server" in core.why_not()
@@ -121,6 +132,8 @@
     links[0].connected()
     assert "tried yet: dead" in core.why_not()
     links[1].failed(refused=False)
+    assert "not listening" in core.why_not()
+    core.listening = True
     assert core.why_not() == ""
     core.list_servers([Listing("new", ("127.0.0.1", 9), 2, Standing.READY)], False)
     links[0].lost()
@@ -275,6 +288,8 @@
     inside.core.ending = True
     inside.core.drain(True)
     two.leave()
+    assert not one.idle(), "ends of calls may come until it leaves"
+    inside.core.leave()
     assert one.idle()
 
 
@@ -351,3 +366,164 @@
         door.receive(piece)
     assert door.pull().startswith(b"ok draining") and door.done()
     assert inside.core.drain_since is not None
+
+
+# ---- upgrades ----
+
+
+class Upgrade:
+    """The platform's part: it owns the callers' socket and starts the program on it, more than once."""
+
+    def __init__(self, folder, *scripts):
+        self.folder, self.programs = folder, []
+        self.servers = [RosterServer(script) for script in scripts]
+        lines = [instance(f"s-{cell}", each.port, cell) for cell, each in enumerate(self.servers)]
+        self.coordinator = Coordinator(*lines)
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = self.sock.getsockname()
+        self.known = self.coordinator.known()
+        (folder / "left by another").write_text("{")
+
+    def start(self, waits=True):
+        """One more process, with a door of its own and everything else unchanged."""
+        program = Program.on_socket(self.folder, self.sock, self.coordinator, self.known)
+        self.programs.append(program)
+        return program.serves() if waits else program
+
+
+@pytest.fixture
+def upgrade(tmp_path):
+    """An upgrade's platform; ends all that it started."""
+    made = []
+
+    def make(*scripts):
+        made.append(Upgrade(tmp_path, *scripts))
+        return made[0]
+
+    yield make
+    for program in made[0].programs:
+        program.kill()
+    made[0].sock.close()
+
+
+def test_an_upgrade_loses_no_call(upgrade):
+    """Guards against a second process that can't start beside the first, callers that meet a refused or
+    unread connection, calls that end unanswered, and ends of calls that nobody is told.
+    """
+    platform = upgrade(SILENT)
+    (server,) = platform.servers
+    old = platform.start()
+    keeps, waits, standing, open_one = old.caller(), old.caller(), next(IDS), next(IDS)
+    for caller, ident in ((keeps, standing), (waits, open_one)):
+        caller.invite(ident, within=9000)
+        until(lambda ident=ident: ident in [m["tag"] for m in server.of("START")])
+    server.say("STARTED", standing, blob="d")
+    keeps.expect(standing, 200)
+    new = platform.start()
+    old.process.terminate()
+    until(lambda: keeps.closed, "the end of a kept connection at an idle moment")
+    assert old.process.poll() is None and not waits.closed
+    server.script = RosterServer.answers
+    callers = [new.caller() for _ in range(8)]
+    for caller in callers:
+        caller.invite(ident := next(IDS))
+        caller.expect(ident, 200)
+    assert old.order("check") == "fail draining"
+    server.say("STARTED", open_one, link=server.links[0], blob="d")
+    waits.expect(open_one, 200)
+    assert old.process.wait(20) == 0, "it leaves as soon as nothing is owed"
+    counted = [program.lines("counters")[-1] for program in (old,)]
+    assert counted[0]["answers_stood"] == "2", "what came after SIGTERM is the new process's"
+    server.say("FINISH", standing, rc=16)
+    until(lambda: [c for c in callers if c.of(standing, "BYE")], "the end of a call that the old one set up")
+    callers[0].send("BYE", "sip:x@net", {"call-id": open_one, "cseq": "2 BYE", "reason": "Q.850;cause=31"})
+    until(lambda: [m for m in server.of("FINISH") if m["tag"] == open_one], "its release by a caller")
+    platform.start().order("check")
+    new.process.terminate()
+    assert new.process.wait(20) == 0
+    newest = platform.programs[-1].caller()
+    newest.invite(ident := next(IDS))
+    newest.expect(ident, 200)
+
+
+def test_a_process_accepts_on_a_shared_socket_only_once_it_can_serve(upgrade):
+    """Guards against callers taken by a process that knows no roster server yet: they wait for the other."""
+    platform = upgrade(None)
+    platform.known = {"index": 0, "updates": []}
+    platform.coordinator.held = True
+    program = platform.start(waits=False)
+    assert program.order("check").startswith("fail ")
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident)
+    until(lambda: program.lines("order"))
+    assert not program.lines("taken")
+    platform.coordinator.release()
+    caller.expect(ident, 200)
+    assert program.order("check").startswith("ok")
+
+
+def test_a_drain_told_before_the_upgrade_holds_in_the_new_process(upgrade):
+    """Guards against a new process that goes by the list of the first start and sends to what drains."""
+    platform = upgrade(None, None)
+    first, second = platform.servers
+    platform.start()
+    platform.coordinator.tell(instance("s-0", first.port, 0, "terminating"))
+    new = platform.start()
+    platform.programs[0].process.terminate()
+    assert platform.programs[0].process.wait(20) == 0
+    caller = new.caller()
+    for _ in range(5):
+        caller.invite(ident := next(IDS))
+        caller.expect(ident, 200)
+    assert len(second.of("START")) == 5 and not first.of("START")
+
+
+def test_unanswered_calls_end_before_an_upgrades_sigkill(upgrade):
+    """Guards against calls without an answer: SIGKILL comes 0.7 s after the longest deadline, 5 s at most."""
+    platform = upgrade(SILENT)
+    old = platform.start()
+    caller, ident = old.caller(), next(IDS)
+    caller.invite(ident, within=9000)
+    until(lambda: platform.servers[0].of("START"))
+    old.process.terminate()
+    assert old.process.wait(20) == 0
+    assert caller.finals(ident) == [503]
+    at = {name: float(old.lines(name)[-1]["at"]) for name in ("stopping", "drained")}
+    assert 5.0 < at["drained"] - at["stopping"] < 5.7, "by its own clock"
+
+
+@pytest.mark.parametrize(
+    ("given", "says"), [("99", "descriptor 99"), ("x", "invalid literal"), ("1", "descriptor 1")]
+)
+def test_a_descriptor_that_is_no_socket_ends_in_one_plain_line(tmp_path, given, says):
+    """Guards against a traceback, or a softswitch that listens nowhere."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(platform_config(Coordinator(), 1, 2)))
+    program = Program(tmp_path, RELAY_CONFIG=str(path), RELAY_INHERITED_FD=given)
+    assert program.process.wait(20) == 2
+    assert program.text().count("\n") == 1 and says in program.text()
+
+
+def test_two_processes_together_keep_within_the_limits():
+    """Guards against an upgrade in which each process takes callers as if it were alone."""
+    alone = Config("n", Inside().settings, sockets=384, memory_mb=80)
+    beside = replace(alone, inherited=4)
+    assert 2 * most_callers(beside) <= most_callers(alone) <= 384 * 3 / 4
+    assert most_callers(beside) > 384 / 3, "callers hold up to a third"
+
+
+def test_links_that_were_left_are_not_opened_again():
+    """Guards against an old process that dials again as it leaves, and is told there of ends of calls."""
+    inside, links = Inside(), []
+    side = RosterSide(inside.core, links.append)
+    inside.core.list_servers([Listing("t", ("127.0.0.1", 9), 1, Standing.READY)], False)
+    links[0].connected()
+    side.finish(links[0].server, next(IDS), 16)
+    assert not side.flushed()
+    links[0].pull()
+    assert side.flushed()
+    side.leave()
+    links[0].lost()
+    assert links[0].done()
+    side.drop(links[0])
+    assert len(links) == 1
