Take settings live at SIGHUP, hold classes by themselves, and refuse a file whole that lacks a key

Before: every caller of the new class was answered 400 from TrunkFront._invite, since `settings` stood under wants_restart; refused files had been refused already. A removed class lives on for 2 s, then its name is unknown (400); a call keeps class and attempts to its end.

--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -36,7 +36,7 @@
 from stairhatch.node.sip_front import SipConfig, SipConfigError, SipFront, read_sip_config
 from stairhatch.node.syslog import Log
 from stairhatch.node.trunk_front import TrunkFront
-from stairhatch.settings import SettingsError, settings_from
+from stairhatch.settings import SettingsError, lost_key, settings_from
 
 STAY_S = 1.0  # after SIGTERM: connections come for 0.4 s, requests on them for 0.2 s more
 LEAVE_S = 0.4  # a planned restart's SIGKILL comes 0.7 s after the longest deadline, which counts as ...
@@ -66,6 +66,16 @@
     console: tuple[str, int] | None = None  # the operators' door
     syslog: tuple[str, int] | str | None = None
     tracing: bool = False
+    raw: Any = None  # as it was read, of what must not lose a key
+
+
+def _settings(raw: Any) -> Settings:
+    """The settings, in which each class can be told by its name."""
+    settings = settings_from(raw)[0]
+    names = [kind.name for kind in settings.classes]
+    if not names or len(set(names)) < len(names):
+        raise ConfigError(f"settings.classes: {'two have one name' if names else 'there is none'}")
+    return settings
 
 
 def _read(path: str) -> str:
@@ -88,7 +98,7 @@
         inherited = int(environ["RELAY_INHERITED_FD"]) if environ.get("RELAY_INHERITED_FD") else None
         return Config(
             name=str(environ.get("RELAY_NAME") or raw["name"]),
-            settings=settings_from(raw["settings"])[0],
+            settings=_settings(raw["settings"]),
             seed=str(raw.get("seed", "")),
             sockets=int(raw.get("limits", {}).get("sockets", 1024)),
             memory_mb=int(raw.get("limits", {}).get("memory_mb", 192)),
@@ -98,6 +108,7 @@
             known=raw["known"],
             drain_s=(RESTART_S if inherited is None else UPGRADE_S),
             inherited=inherited,
+            raw=raw,
             tracing=environ.get("STAIRHATCH_TRACE") == "1",
         )
     except ConfigError:
@@ -120,7 +131,7 @@
     """Read a file such as deploy/sip.toml."""
     try:
         raw = tomllib.loads(_read(path))
-        settings = settings_from(raw["settings"])[0]
+        settings = _settings(raw["settings"])
         listed = [
             {
                 "instanceId": line["name"], "hostPort": line["address"],
@@ -144,6 +155,7 @@
             coordinator=parse_address(coordinator) if coordinator else None,
             known={"index": len(listed) and 1, "updates": [first] if listed else []},
             console=_console(raw, environ),
+            raw={"settings": raw["settings"]},  # the rest may lose what was optional
             syslog=syslog,
             tracing=environ.get("STAIRHATCH_TRACE") == "1" or bool(raw.get("trace", False)),
         )
@@ -328,6 +340,8 @@
         try:
             new = self.reread()
             listed = read_events(new.known, 0)[1]  # before anything is changed
+            if lost := lost_key(self.config.raw, new.raw):
+                raise ConfigError(f"{lost} is missing, and is in force")
             if (new.coordinator is None) is not (self.config.coordinator is None):
                 raise ConfigError("a coordinator in place of listed servers, or the reverse, wants a restart")
         except (ConfigError, DirectoryError) as error:
@@ -343,15 +357,18 @@
                 self.directory.move(new.coordinator)
         elif new.known != old.known:  # the list in the file is the whole list
             self.core.list_servers(listed[0][1], complete=True)
+        if new.settings != old.settings:
+            self.core.retune(new.settings)
+            self.counters.add("retunes")
         later = []
         if self.front is not None and new.sip is not None:
-            if new.settings == old.settings:  # the numbers name classes by their place in the settings
-                kept = self.front.config
-                kept = replace(kept, numbers=new.sip.numbers, default_class=new.sip.default_class)
-                self.front.config = kept
+            kept = self.front.config
+            self.front.config = replace(
+                kept, numbers=new.sip.numbers, default_class=new.sip.default_class
+            )
             if self.front.config != new.sip:
                 later.append("sip")
-        for name in ("name", "listen", "console", "settings", "sockets", "memory_mb", "syslog"):
+        for name in ("name", "listen", "console", "sockets", "memory_mb", "syslog"):
             if getattr(new, name) != getattr(old, name):
                 later.append(name)
         self.config = replace(
@@ -362,7 +379,13 @@
         at = time.strftime("%F %T", time.gmtime(self.clock()))
         self.reloaded = at + (f", not taken over: {', '.join(later)}" if later else "")
         where = f"{new.coordinator[0]}:{new.coordinator[1]}" if new.coordinator else "-"
-        self.log("reload", result="taken", coordinator=where, wants_restart=",".join(later) or "-")
+        was, now = ([kind.name for kind in config.settings.classes] for config in (old, new))
+        changed = "new" if new.settings != old.settings else "same"
+        self.log(
+            "reload", result="taken", coordinator=where, settings=changed,
+            classes=",".join(now), added=",".join(n for n in now if n not in was) or "-",
+            removed=",".join(n for n in was if n not in now) or "-", wants_restart=",".join(later) or "-",
+        )  # fmt: skip
 
 
 async def run(config: Config, reread: Callable[[], Config]) -> None:
--- a/stairhatch/adapter.py
+++ b/stairhatch/adapter.py
@@ -102,9 +102,10 @@
             case wire.RosterChange():
                 return self._listed(record)
             case wire.Ask():
+                classes = instance.controller.settings.classes
                 return say.CallOffered(
                     call=record.txn,
-                    kind=record.type,
+                    kind=classes[record.type] if record.type < len(classes) else None,
                     choice=int(record.destination) if math.isfinite(record.destination) else -1,
                     grace_s=record.grace_s,
                     redial=bool(record.bits & REDIALLED),
--- a/stairhatch/choice.py
+++ b/stairhatch/choice.py
@@ -64,6 +64,7 @@
     in_transit: bool
     called: int
     hold_by: float  # it is held for room until then
+    cap: int  # on attempts
     attempts: int = 0
     may_have_run: bool = False
     erred_at: tuple[int, ...] = ()  # servers that answered it with an error
@@ -128,9 +129,7 @@
     """The decisions of one access node."""
 
     def __init__(self, settings: say.Settings, rng: random.Random) -> None:
-        self.settings = settings
-        self.safety = settings.safety
-        self.rng = rng
+        self.settings, self.rng = settings, rng
         self.servers: dict[int, Server] = {}
         self.calls: dict[int, Call] = {}
         self.waiting: dict[int, Call] = {}
@@ -138,21 +137,30 @@
         self.holds: list[tuple[float, int]] = []  # a heap of when each is given up; some are over
         self.borne, self.borne_at = 0.0, 0.0  # the share of its lines that a warm server used lately
         self.jams: dict[int, Jam] = {}
-        self.patience: dict[int, float] = {}  # class -> the time its callers mostly give a try
+        self.patience: dict[str, float] = {}  # class -> the time its callers mostly give a try
         self.timer_set = False
         self.served_at = -1.0  # when the waiting calls were last looked through
+        self.notes: list[str] = []  # lines for the people on call, few and plain
+        self.lengths = 0
+        self.lasted_s, self.lasted = 0.0, 0  # calls of this node that ended by themselves
+        self.retune(settings)
+
+    def retune(self, settings: say.Settings) -> None:
+        """Take other settings in one step, with all that is derived from them. What was learnt stays."""
+        was = {kind.name: kind.deadline_s for kind in self.settings.classes}
+        old, kinds = self.patience, [k for k in settings.classes if k.name in was and k.name in self.patience]
+        self.patience = {k.name: old[k.name] * k.deadline_s / was[k.name] for k in kinds}
+        self.settings, self.safety = settings, settings.safety
         # Floors and first values are the whole fleet's; each node takes its part of them.
         self.first_window = FIRST_FLEET_WINDOW / settings.balancers
         self.least_window = LEAST_FLEET_WINDOW / settings.balancers
-        self.notes: list[str] = []  # lines for the people on call, few and plain
         aims = [kind.aim_s for kind in settings.classes]
         self.scale_s = min(aims + ([settings.retransmit_s] if settings.retransmit_s > 0 else []), default=1.0)
         self.most = max((k.importance for k in settings.classes), default=1.0) or 1.0
         self.least = min((k.importance for k in settings.classes if k.importance > 0), default=1.0)
         lengths = [kind.length_s for kind in settings.classes]
-        self.length_s = sum(lengths) / len(lengths) if lengths else 0.0  # of a call, as they come
-        self.lengths = 0
-        self.lasted_s, self.lasted = 0.0, 0  # calls of this node that ended by themselves
+        if not self.lengths:
+            self.length_s = sum(lengths) / len(lengths) if lengths else 0.0  # of a call, as they come
 
     def handle(self, now: float, event: say.Event) -> Iterator[Action]:
         """Take one event; yield what is to be done."""
@@ -218,18 +226,19 @@
 
     def call_offered(self, now: float, event: say.CallOffered) -> Iterator[Action]:
         """The ordinary path: pick a server; while it is flagged, refuse a share at random; else send."""
-        if event.kind >= len(self.settings.classes):
+        kind = event.kind
+        if kind is None:
             yield say.FailCall(event.call)
             return
-        kind = self.settings.classes[event.kind]
         self.lengths += 1
         self.length_s += (kind.length_s - self.length_s) / min(self.lengths, 1000)
         margin = max(ANSWER_MARGIN_S, 2 * self.settings.period_s)
         by = now + event.grace_s - margin
-        redial = event.redial or self.looks_redialled(event)
+        redial = event.redial or self.looks_redialled(kind, event.grace_s)
         worth = kind.importance * (kind.late_worth if redial else 1.0)
         hold = min(by, now + kind.aim_s - self.onset)  # while its aim can be met
-        call = Call(event.call, kind, event.choice, now, by, worth, event.in_transit, event.called, hold)
+        cap = self.settings.attempts
+        call = Call(event.call, kind, event.choice, now, by, worth, event.in_transit, event.called, hold, cap)
         self.calls[call.id] = call
         if self.number_jammed(now, call):
             yield from self.refuse(now, call)
@@ -243,16 +252,16 @@
             return
         self.wait(call)
 
-    def looks_redialled(self, event: say.CallOffered) -> bool:
+    def looks_redialled(self, kind: say.CallClass, grace_s: float) -> bool:
         """Departure: a caller whose patience is not the usual one of its class is on a later try.
 
         Callers' last tries last as long as their time does, their first ones a fixed part of it. Where each
         caller has its own patience this could take some first tries for later ones.
         """
-        usual = self.patience.get(event.kind, event.grace_s)
+        usual = self.patience.get(kind.name, grace_s)
         step = PATIENCE_STEP * usual
-        self.patience[event.kind] = usual + max(-step, min(step, event.grace_s - usual))
-        return abs(event.grace_s - usual) > PATIENCE_SLACK * usual
+        self.patience[kind.name] = usual + max(-step, min(step, grace_s - usual))
+        return abs(grace_s - usual) > PATIENCE_SLACK * usual
 
     def number_jammed(self, now: float, call: Call) -> bool:
         """Departure: after 'busy' a number gets one trial call a gap, which doubles with each new 'busy'.
@@ -621,7 +630,7 @@
         elif event.ending is Ending.ERROR:
             call.erred_at += (event.server,)
         unrepeatable = call.may_have_run and not call.kind.repeatable
-        over = event.number_busy or unrepeatable or call.attempts >= self.settings.attempts
+        over = event.number_busy or unrepeatable or call.attempts >= call.cap
         over = over or len(call.erred_at) >= ERRORS_OF_CALL
         if over or max(now, call.not_before) >= call.answer_by:
             self.forget(call.id)
--- a/stairhatch/interface.py
+++ b/stairhatch/interface.py
@@ -20,7 +20,8 @@
 
 def _number(value: float, field: str, least: float = 0.0) -> None:
     """Reject what is not a finite number of at least `least`."""
-    _require(isinstance(value, int | float) and math.isfinite(value), field, "must be a finite number")
+    real = isinstance(value, int | float) and not isinstance(value, bool)
+    _require(real and math.isfinite(value), field, "must be a finite number")
     _require(value >= least, field, f"must be at least {least:g}, not {value:g}")
 
 
@@ -90,7 +91,8 @@
 
     def __post_init__(self) -> None:
         _require(isinstance(self.balancers, int) and self.balancers >= 1, "balancers", "must be at least 1")
-        _require(isinstance(self.attempts, int) and self.attempts >= 1, "attempts", "must be at least 1")
+        whole = isinstance(self.attempts, int) and not isinstance(self.attempts, bool)
+        _require(whole and self.attempts >= 1, "attempts", "must be a whole number of at least 1")
         for name in ("retransmit_s", "period_s", "longest_return_s"):
             _number(getattr(self, name), name)
 
@@ -159,7 +161,7 @@
     """A caller asks for a call. One final answer is owed within `grace_s`."""
 
     call: int
-    kind: int  # position in Settings.classes
+    kind: CallClass | None  # as it is when the call comes, and for as long as it is open; None: no such class
     choice: int  # number of the server of first choice
     grace_s: float
     redial: bool = False
--- a/stairhatch/node/console.py
+++ b/stairhatch/node/console.py
@@ -20,6 +20,7 @@
 servers   the roster servers of the directory: set-ups out, those that the decisions hold for unanswered,
           calls that stand, the wait last reported and how long ago, and whether it is held for pressed
 calls     calls that are being set up or stand (the first 50)
+classes   the classes of calls as the settings have them now, and the calls open in each
 counters  what was taken in, sent and answered, by kind
 trace     print a line for each step of each call: trace on, trace off
 check     whether new callers are served now: ok, or fail and why
@@ -134,6 +135,8 @@
                 return self._servers()
             case ["calls"]:
                 return self._calls()
+            case ["classes"]:
+                return self._classes()
             case ["counters"]:
                 counts = sorted(self.core.counters.counts.items())
                 return "".join(f"{name:32} {count}\n" for name, count in counts) or "nothing counted yet\n"
@@ -207,6 +210,19 @@
             )
         return text
 
+    def _classes(self) -> str:
+        core = self.core
+        text = f"{'class':16} {'worth':>6} {'aim':>7} {'limit':>7} {'again':5} {'attempts':>8} {'open':>5}\n"
+        open_ones = [call.offer.kind for call in core.calls.values()]
+        going = [kind for kind in dict.fromkeys(open_ones) if kind not in core.settings.classes]
+        for kind in [*core.settings.classes, *going]:
+            text += (
+                f"{kind.name:16} {kind.importance:6g} {kind.aim_s:6g}s {kind.deadline_s:6g}s "
+                f"{'yes' if kind.repeatable else 'no':5} {core.settings.attempts:8} {open_ones.count(kind):5}"
+                f"{' as it was before a reload' if kind in going else ''}\n"
+            )
+        return text
+
     def _calls(self) -> str:
         core = self.core
         if not core.calls:
@@ -215,7 +231,7 @@
         for index, call in enumerate(core.calls.values()):
             if index == MOST_SHOWN:
                 return text + f"and {len(core.calls) - MOST_SHOWN} more\n"
-            kind = core.settings.classes[call.offer.kind].name
+            kind = call.offer.kind.name
             server = call.attempt.server.listing.instance if call.attempt is not None else "-"
             text += (
                 f"{call.offer.ident:17} {call.offer.key:18} {kind:12} {call.stage.value:9} "
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -24,6 +24,7 @@
 ANSWER_EARLY_S = 0.03  # attempts and calls end this long before the caller stops waiting
 BACKSTOP_S = 0.01  # what the decisions have left unanswered so long after that is failed
 PAUSE_MARGIN_S = 0.02  # added to the pause after an unclear end: the two roads differ in length
+OLD_CLASS_S = 2.0  # callers name a class that is no more for 1.2 s
 GRID_HZ = 256  # of the timers
 TURN_AWAY_S = 0.7  # so long into a drain new set-ups are refused, so that each connection empties
 HOLD_S = 3.6  # so long a drain keeps a connection for the releases of calls that stand, and no longer
@@ -127,7 +128,7 @@
     """A set-up as its caller made it. `ident` goes to the roster server, unchanged."""
 
     ident: str
-    kind: int  # position of the class in the settings
+    kind: say.CallClass  # held for as long as the call is open, whatever the settings say by then
     key: str  # the number called, as it was written
     description: str
     patience_s: float
@@ -165,6 +166,7 @@
     offer: Offer
     caller: Caller
     deadline: float
+    cap: int  # on its attempts
     stage: Stage = Stage.OFFERED
     attempt: Attempt | None = None
     attempts: int = 0
@@ -210,6 +212,8 @@
     ) -> None:
         self.tracing = tracing  # whether each call leaves lines in the log
         self.settings, self.clock, self.log, self.counters = settings, clock, log, counters
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.before: dict[str, tuple[say.CallClass, float]] = {}  # classes as they were, and until when
         self.controller = Controller(settings, rng)
         self.servers: dict[int, Server] = {}
         self.by_instance: dict[str, Server] = {}
@@ -275,6 +279,29 @@
         if self._due[0] == due:
             self.wake()
 
+    # ---- the settings ----
+
+    def retune(self, settings: say.Settings) -> None:
+        """Other settings hold from now on. Calls that are open keep their class and their cap on attempts."""
+        until = self.clock() + OLD_CLASS_S
+        self.before = {name: kept for name, kept in self.before.items() if kept[1] > self.clock()}
+        self.before.update((name, (kind, until)) for name, kind in self.classes.items())
+        self.settings = settings
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.controller.retune(settings)
+
+    def class_named(self, name: str) -> say.CallClass | None:
+        """The class of that name. One that has gone lives on for callers who have not heard of it yet."""
+        kind = self.classes.get(name)
+        if kind is None and name in self.before and self.before[name][1] > self.clock():
+            kind = self.before[name][0]
+        return kind
+
+    def longest_wait(self, kind: say.CallClass) -> float:
+        """The limit of a class, or the one it had lately if that was longer."""
+        old, until = self.before.get(kind.name, (kind, 0.0))
+        return max(kind.deadline_s, old.deadline_s if until > self.clock() else 0.0)
+
     # ---- whether calls are taken ----
 
     def why_not(self) -> str:
@@ -404,12 +431,14 @@
         if offer.ident in self.by_ident:
             return None
         now = self.clock()
-        call = Call(next(self._order), offer, caller, now + offer.patience_s - ANSWER_EARLY_S)
+        due = now + offer.patience_s - ANSWER_EARLY_S
+        call = Call(next(self._order), offer, caller, due, self.settings.attempts)
         self.calls[call.number] = self.by_ident[offer.ident] = call
         self.unanswered += 1
         self.counters.add("calls_taken")
         if self.tracing:
-            self.log("taken", call=offer.ident, kind=offer.kind, patience_ms=int(offer.patience_s * 1000))
+            patience_ms = int(offer.patience_s * 1000)
+            self.log("taken", call=offer.ident, kind=offer.kind.name, patience_ms=patience_ms)
         self.at(call.deadline + BACKSTOP_S, lambda: self._backstop(call))
         self._tell(
             say.CallOffered(
@@ -463,7 +492,7 @@
         """The process is about to be ended: who still waits is told so, and may try elsewhere."""
         for call in [call for call in self.calls.values() if call.stage is Stage.OFFERED]:
             if call.stage is Stage.OFFERED:
-                harmless = call.attempts == 0 or self.settings.classes[call.offer.kind].repeatable
+                harmless = call.attempts == 0 or call.offer.kind.repeatable
                 self._final(call, say.RefuseCall(call.number) if harmless else say.FailCall(call.number))
                 self._tell(say.CallerLeft(call.number))
 
@@ -649,10 +678,10 @@
         if action.timeout_s != 0:
             due = min(due, now + max(0.0, action.timeout_s))
         attempt = call.attempt = Attempt(call, server, call.attempts, now, due)
-        pools = self.settings.classes[call.offer.kind].pools
+        pools = call.offer.kind.pools
         barred = pools is not None and server.listing.number not in pools
         ready = server.listing.standing is Standing.READY
-        if barred or not ready or call.attempts > self.settings.attempts or due <= max(now, call.pause_until):
+        if barred or not ready or call.attempts > call.cap or due <= max(now, call.pause_until):
             self._attempt_ended(attempt, Ending.NOT_SENT, Report())
             return
         self.at(due, lambda: self._timed_out(attempt))
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -367,9 +367,8 @@
                 if left_ms is None:
                     continue
                 offer = item.call.offer
-                kind = core.settings.classes[offer.kind].name
                 self.open[offer.ident] = item
-                line = start_line(offer.ident, kind, offer.key, offer.description, left_ms)
+                line = start_line(offer.ident, offer.kind.name, offer.key, offer.description, left_ms)
             elif isinstance(item, Release):
                 item.times += 1
                 self.written.append((core.clock(), item))
--- a/stairhatch/node/sip_front.py
+++ b/stairhatch/node/sip_front.py
@@ -15,7 +15,7 @@
 from functools import partial
 from typing import Any
 
-from stairhatch.interface import Settings
+from stairhatch.interface import CallClass, Settings
 from stairhatch.node import roster, sip
 from stairhatch.node.core import AWAY_S, ENDED, Call, Core, Machine, Offer
 from stairhatch.node.directory import DirectoryError, parse_address
@@ -44,17 +44,23 @@
     udp: Address | None
     tcp: Address | None
     contact: str
-    default_class: int
-    numbers: tuple[tuple[str, int, int], ...]  # prefix, class, first choice; the longest prefix first
+    default_class: str
+    numbers: tuple[tuple[str, str, int], ...]  # prefix, class, first choice; the longest prefix first
     connections: int
 
 
 def read_sip_config(raw: dict[str, Any], settings: Settings) -> SipConfig:
     """Read the `[sip]` part of deploy/sip.toml."""
     try:
-        classes = {kind.name: index for index, kind in enumerate(settings.classes)}
+        classes = {kind.name for kind in settings.classes}
+
+        def known(name: object) -> str:
+            if not isinstance(name, str) or name not in classes:
+                raise SipConfigError(f"the settings have no class {name!r}")
+            return name
+
         numbers = [
-            (str(line["prefix"]), classes[line["class"]], int(line.get("first_choice", -1)))
+            (str(line["prefix"]), known(line["class"]), int(line.get("first_choice", -1)))
             for line in raw.get("numbers", ())
         ]
         udp = parse_address(raw["udp"]) if raw.get("udp") else None
@@ -66,7 +72,7 @@
             udp=udp,
             tcp=tcp,
             contact=str(raw.get("contact") or f"{host}:{port}"),
-            default_class=classes[raw["default_class"]],
+            default_class=known(raw["default_class"]),
             numbers=tuple(sorted(numbers, key=lambda line: -len(line[0]))),
             connections=int(raw.get("connections", 256)),
         )
@@ -390,23 +396,20 @@
 
     # ---- calls ----
 
-    def read_class(self, message: sip.Message) -> tuple[int | None, int]:
+    def read_class(self, message: sip.Message) -> tuple[CallClass | None, int]:
         """Class and first choice: `Call-Kind` names the class, else the number called does by its prefix."""
         user = sip.user_of(message.uri)
-        kind, choice = self.config.default_class, -1
+        name, choice = self.config.default_class, -1
         for prefix, listed, first in self.config.numbers:
             if user.startswith(prefix):
-                kind, choice = listed, first
+                name, choice = listed, first
                 break
-        named = message.get("call-kind")
-        if named:
-            names = [each.name for each in self.core.settings.classes]
-            return (names.index(named) if named in names else None), choice
-        return kind, choice
+        return self.core.class_named(message.get("call-kind") or name), choice
 
-    def _patience(self, message: sip.Message, kind: int) -> float:
+    @staticmethod
+    def _patience(message: sip.Message, kind: CallClass) -> float:
         """How long the caller waits: as its class says, or less if Expires does."""
-        patience = self.core.settings.classes[kind].deadline_s
+        patience = kind.deadline_s
         expires = message.get("expires")
         if expires.isascii() and expires.isdigit():
             patience = min(patience, float(expires[:9]))
@@ -442,7 +445,7 @@
             self.final(transaction, 400, [])
             return
         ident = hashlib.blake2b("\0".join(merged).encode("utf-8", "replace"), digest_size=8).hexdigest()
-        if roster.too_long(ident, self.core.settings.classes[kind].name, user, description):
+        if roster.too_long(ident, kind.name, user, description):
             self.final(transaction, 413, [])
             return
         if len(self.dialogs) >= MOST_DIALOGS:
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -76,7 +76,6 @@
 
     def __init__(self, core: Core) -> None:
         self.core = core
-        self.classes = {kind.name: index for index, kind in enumerate(core.settings.classes)}
         self.connections: dict[TrunkConnection, None] = {}  # the last that spoke comes last
         self.calls: dict[str, TrunkCall] = {}
         self.releases: dict[str, Release] = {}
@@ -367,7 +366,7 @@
     def _invite(self, message: sip.Message, ident: str) -> None:
         """A set-up. One that can't be understood, or no roster server could read, is answered at once."""
         front = self.front
-        kind = front.classes.get(message.get("call-kind"))
+        kind = front.core.class_named(message.get("call-kind"))
         within = message.get("answer-within")
         key = sip.user_of(message.uri)
         try:
@@ -380,7 +379,7 @@
         if kind is None or not key:
             self._unusable(message, 400)
             return
-        if not 0 < patience_s <= PATIENCE_SLACK * front.core.settings.classes[kind].deadline_s:
+        if not 0 < patience_s <= PATIENCE_SLACK * front.core.longest_wait(kind):
             self._unusable(message, 400)
             return
         if roster.too_long(ident, message.get("call-kind"), key, description):
--- a/stairhatch/settings.py
+++ b/stairhatch/settings.py
@@ -50,6 +50,33 @@
         raise SettingsError(f"boot_info: {error}") from None
 
 
+def lost_key(old: Any, new: Any, at: str = "") -> str:
+    """The first key of what is in force that a new text lacks; "" if it lacks none.
+
+    Guards against a text cut short or mistyped: for a key that is missing the parser would take its default.
+    Of a list of named things each must have what all had so far, and a known one what it had itself.
+    """
+    if isinstance(old, dict):
+        if not isinstance(new, dict):
+            return at or "all of it"
+        for name, value in old.items():
+            here = f"{at}.{name}" if at else str(name)
+            if name not in new:
+                return here
+            if lost := lost_key(value, new[name], here):
+                return lost
+    elif isinstance(old, list) and old and all(isinstance(line, dict) and "name" in line for line in old):
+        if not isinstance(new, list) or not new:
+            return at
+        shared = {name: None for name in old[0] if all(name in line for line in old)}
+        named = {line["name"]: line for line in old}
+        for index, line in enumerate(new):
+            own = line.get("name") if isinstance(line, dict) else None
+            if lost := lost_key({**shared, **named.get(own, {})}, line, f"{at}[{index}]"):
+                return lost
+    return ""
+
+
 def report_from(values: Iterable[tuple[str, float]]) -> say.Report:
     """Name a report's values; -1, unknown names and what is no number count as missing."""
     found: dict[str, float] = {}
@@ -100,9 +127,9 @@
     pools = family.get("allowed_pools")
     lengths = family.get("call_length_s")
     extra: dict[str, Any] = {}
-    if pools is not None and index < len(pools):
-        extra["pools"] = tuple(pools[index])
-    if lengths is not None and index < len(lengths):
+    if pools is not None:
+        extra["pools"] = tuple(pools[index])  # IndexError where a class has none
+    if lengths is not None:
         extra["length_s"] = lengths[index]
     return say.CallClass(
         name=line.get("name", str(index)),
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import json
+import random
 import socket
 from dataclasses import replace
 from types import SimpleNamespace
@@ -12,15 +13,18 @@
 import pytest
 
 from stairhatch.__main__ import Config, most_callers
+from stairhatch.choice import Controller
 from stairhatch.interface import Standing
 from stairhatch.node import sip
 from stairhatch.node.console import MOST_ORDER, Door
-from stairhatch.node.core import HOLD_S, TURN_AWAY_S, Listing
+from stairhatch.node.core import HOLD_S, OLD_CLASS_S, TURN_AWAY_S, Listing
 from stairhatch.node.net import FRESH_S, Bounds, Listening, Taken
 from stairhatch.node.roster import RosterSide
 from stairhatch.node.trunk_front import GREET_S, TrunkFront
+from stairhatch.settings import settings_from
 
 from .peers import (
+    SETTINGS,
     Caller,
     Coordinator,
     Inside,
@@ -30,7 +34,7 @@
     platform_config,
     sip_headers,
     until,
-)  # fmt: skip
+)
 
 IDS = iter(f"{n:016x}" for n in range(0x0A0001, 0x0A9999))
 SILENT = RosterServer.silent
@@ -368,6 +372,184 @@
     assert inside.core.drain_since is not None
 
 
+# ---- new settings ----
+
+
+def changed(raw, *path, value=None):
+    """A copy of a configuration with one part replaced, or taken out if no value is given."""
+    copy = json.loads(json.dumps(raw))
+    part = copy
+    for step in path[:-1]:
+        part = part[step]
+    if value is None:
+        del part[path[-1]]
+    else:
+        part[path[-1]] = value
+    return copy
+
+
+def class_line(name, **more):
+    """One class of the settings."""
+    return {"name": name, "aim_s": 1.5, "hard_limit_s": 9.0, "importance": 1.0, "late_worth": 0.25, **more}
+
+
+def tuned(classes, cap=6):
+    """Settings with these classes, each of which may go to both roster servers."""
+    raw = {**SETTINGS, "classes": classes, "permissions": {**SETTINGS["permissions"], "send_cap": cap}}
+    pools = [[0, 1] for _ in classes]
+    return {**raw, "family_info": {**SETTINGS["family_info"], "allowed_pools": pools}}
+
+
+def paths(raw, at=()):
+    """All keys of a configuration but those of the events."""
+    for name, value in raw.items():
+        yield (*at, name)
+        if isinstance(value, dict) and name != "known":
+            yield from paths(value, (*at, name))
+
+
+NO_NUMBERS = ["NaN", "Infinity", "-Infinity", "1e999", "true", "false", '"3"', "0", "-5", "null", "[]", "{}"]
+
+
+def test_a_file_that_is_cut_short_or_lacks_a_key_or_a_number_changes_nothing(stage):
+    """Guards against settings put together from half a file and the parser's defaults: each such file is
+    refused whole, with one line and a count, and what was in force stays.
+    """
+    program, _ = stage(None)
+    text = program.path.read_text()
+    raw = json.loads(text)
+    bad = ["", " ", "{}", "[]", "null", "3", text[: len(text) // 2], text[:-1]]
+    bad += [json.dumps(changed(raw, *path)) for path in paths(raw)]
+    bad += [json.dumps(changed(raw, "settings", "classes", 1, key)) for key in raw["settings"]["classes"][1]]
+    bad.append(text.replace('"save-roster"', '"read-roster"'))  # two of one name
+    bad.append(json.dumps(changed(raw, "settings", "classes", value=[])))
+    bad.append(json.dumps(changed(raw, "settings", "family_info", "allowed_pools", value=[[0, 1]])))
+    for name, path in (("1.75", ("classes", 0, "hard_limit_s")), ("77", ("permissions", "send_cap"))):
+        marked = json.dumps(changed(raw, "settings", *path, value=json.loads(name)))
+        bad += [marked.replace(name, number) for number in NO_NUMBERS]
+    for index, each in enumerate(bad):
+        assert program.reload(each)["result"] == "refused", each
+        assert len(program.lines("reload")) == index + 1, "one line each"
+    caller, ident = program.caller(), next(IDS)
+    caller.invite(ident, "save-roster", within=9000)
+    caller.expect(ident, 200)
+    line = program.reload(json.dumps(changed(raw, "settings", "classes", 0, "hard_limit_s", value=8)))
+    assert (line["result"], line["settings"], line["wants_restart"]) == ("taken", "new", "-")
+    program.stop()
+    counted = program.lines("counters")[-1]
+    assert (counted["reloads_refused"], counted["retunes"]) == (str(len(bad)), "1")
+
+
+def test_the_appliances_file_is_held_to_the_same(stage):
+    """Guards against a small site's file that is cut short by an editor, or mistyped."""
+    program, _ = stage(None, front="appliance")
+    text = program.path.read_text()
+    limit, cap = "hard_limit_s = 9.0             #", "send_cap = 6"
+    for each in [
+        "", text[: text.index("[settings.safety]")], text[: text.index("fall_s = ")], text[:-80],
+        text.replace("retransmit_s = 0.8", ""), text.replace("late_worth = 0.1\n", ""),
+        text.replace('class = "save-roster"', 'class = "gone"'),
+        *(text.replace(limit, f"hard_limit_s = {bad} #") for bad in ("nan", "inf", "true", '"9"', "0", "-1")),
+        *(text.replace(cap, f"send_cap = {bad}") for bad in ("nan", "inf", "true", '"9"', "0", "-1", "2.5")),
+    ]:  # fmt: skip
+        assert each != text and program.reload(each)["result"] == "refused", each
+    new = text.replace('"save-roster"', '"plan-roster"').replace(limit, "hard_limit_s = 4.0 #")
+    line = program.reload(new)
+    assert (line["result"], line["added"], line["removed"]) == ("taken", "plan-roster", "save-roster")
+    caller = Caller(program.address, udp=True)
+    caller.send("INVITE", "sip:71@net", sip_headers("INVITE", host=caller.host))
+    caller.expect("c1", 200)
+    program.process.stdin.write(b"classes\n")
+    program.process.stdin.flush()
+    until(lambda: "plan-roster" in program.text().split("stairhatch> ")[-1] or "      4s" in program.text())
+
+
+def test_a_class_is_added_and_another_removed_under_open_calls(stage):
+    """Guards against classes told by their place: an open call stays what it was, callers may name the old
+    class for a while, and then it is one that does not exist.
+    """
+    program, (server, _) = stage(SILENT, SILENT)
+    raw = json.loads(program.path.read_text())
+    caller, open_one = program.caller(), next(IDS)
+    caller.invite(open_one, "save-roster", within=9000)
+    until(lambda: server.of("START"))
+    new = [class_line("night-roster"), class_line("read-roster", effect="keyed")]
+    line = program.reload(json.dumps({**raw, "settings": tuned(new, cap=1)}))
+    assert (line["added"], line["removed"], line["wants_restart"]) == ("night-roster", "save-roster", "-")
+    server.script = RosterServer.answers
+    for kind in ("night-roster", "read-roster", "save-roster"):
+        ident = next(IDS)
+        caller.invite(ident, kind)
+        caller.expect(ident, 200)
+    named = [m["opts"]["class"] for m in server.of("START")]
+    assert named == ["save-roster", "night-roster", "read-roster", "save-roster"]
+
+    def unknown():
+        ident = next(IDS)
+        caller.invite(ident, "save-roster")
+        return until(lambda: caller.finals(ident)) == [400]
+
+    until(unknown, "the end of the old class")
+    server.say("FINISH", open_one, rc=41)
+    caller.expect(open_one, 200)
+    assert len([m for m in server.of("START") if m["tag"] == open_one]) == 2, "it keeps its six attempts"
+
+
+def test_open_calls_keep_their_class_and_their_attempts():
+    """Guards against a call whose rules change, or that is lost, while it is open."""
+    inside = Inside()
+    connection = TrunkFront(inside.core).connect()
+    connection.receive(trunk_invite(old := next(IDS), "9000", "save-roster"))
+    kept = inside.core.by_ident[old].offer.kind
+    lines = [class_line("read-roster", effect="keyed", hard_limit_s=4.0)]
+    inside.core.retune(settings_from(tuned(lines, cap=1))[0])
+    connection.receive(trunk_invite(new := next(IDS), "3000"))
+    call, other = inside.core.by_ident[old], inside.core.by_ident[new]
+    assert call.offer.kind is kept and kept.repeatable and (call.cap, other.cap) == (6, 1)
+    assert not other.offer.kind.repeatable
+    server = inside.core.servers[1]
+    for _ in range(3):  # resets: what may not be repeated has failed, the old one goes on
+        for ident in (old, new):
+            inside.core.finished(server, ident, 41, "", inside.report())
+        inside.run(2.0)
+    assert statuses(connection, new) == [500] and statuses(connection, old) == []
+    assert call.attempts > 1 and old in inside.core.by_ident
+
+
+def test_callers_may_name_an_old_class_or_wait_its_time_for_a_while():
+    """Guards against calls turned away that left before their caller heard of the new settings."""
+    inside = Inside()
+    connection = TrunkFront(inside.core).connect()
+    inside.core.retune(settings_from(tuned([class_line("read-roster", hard_limit_s=2.0)]))[0])
+    inside.run(1.3)
+    for ident, kind in ((next(IDS), "save-roster"), (next(IDS), "read-roster")):
+        connection.receive(trunk_invite(ident, "9000", kind))
+        assert ident in inside.core.by_ident
+    inside.run(OLD_CLASS_S)
+    for ident, kind in ((next(IDS), "save-roster"), (next(IDS), "read-roster")):
+        connection.receive(trunk_invite(ident, "9000", kind))
+        assert statuses(connection, ident) == [400]
+
+
+def test_settings_are_swapped_in_one_step_and_what_was_learnt_stays(make_node):
+    """Guards against figures derived from settings that are no more, and against learning all anew."""
+    node = make_node()
+    core = node.core
+    for _ in range(50):
+        node.offer(kind=0, grace_s=3.0)
+        node.offer(kind=1, grace_s=2.0)
+    core.servers[10].window = 7.5
+    kept = dict(core.patience)
+    (_, vital), length = core.settings.classes, core.length_s
+    shorter = replace(vital, aim_s=0.3, deadline_s=vital.deadline_s / 2, importance=9)
+    core.retune(replace(core.settings, classes=(shorter,), balancers=10, attempts=1))
+    fresh = Controller(core.settings, random.Random(1))
+    for name in ("settings", "safety", "first_window", "least_window", "scale_s", "most", "least", "onset"):
+        assert getattr(core, name) == getattr(fresh, name), name
+    assert core.servers[10].window == 7.5 and core.length_s == length
+    assert core.patience == {"vital": kept["vital"] / 2}, "by its name, and in proportion"
+
+
 # ---- upgrades ----
 
 
