--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -41,6 +41,7 @@
 STAY_S = 1.0  # after SIGTERM: connections come for 0.4 s, requests on them for 0.2 s more
 LEAVE_S = 0.4  # a planned restart's SIGKILL comes 0.7 s after the longest deadline, which counts as ...
 RESTART_S, UPGRADE_S = 3.0, 5.0  # ... so much where it is longer, and so much where a process follows
+FLUSHED_S = 2.0  # so long the end waits for a peer to read its answer or to hear a release
 HAND_OVER_S = 2.0  # so long into an upgrade a caller that never pauses is sent to the new process
 
 
@@ -212,7 +213,7 @@
     Half of that where another process may serve beside this one, since both count together.
     """
     most = min(config.sockets * 3 // 4, config.memory_mb * 8)
-    return max(16, most if config.inherited is None else most // 2)
+    return max(16, most if config.inherited is None else most // 2 - OPERATORS.most)
 
 
 def inherit(descriptor: int) -> socket.socket:
@@ -315,10 +316,16 @@
         if self.config.inherited is None:
             await asyncio.sleep(STAY_S)
         fronts = [each for each in (self.trunk, self.front) if each is not None]
+        answered = math.inf  # since when
         while not core.settled() or not all(each.flushed() for each in fronts):
-            if core.unanswered and self.network.loop.time() >= last:
+            now = self.network.loop.time()
+            if core.unanswered and now >= last:
                 self.log("drained", unanswered=core.unanswered)
                 core.answer_all()
+            answered = math.inf if core.unanswered else min(answered, now)
+            if now > answered + FLUSHED_S:
+                self.log("unread", why="a peer does not read what it is owed")
+                break
             await asyncio.sleep(0.01)
         if self.config.inherited is not None:
             core.leave()
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -24,8 +24,8 @@
 FIRST_BACKOFF_S, LONGEST_BACKOFF_S = 0.05, 1.0
 LONGEST_POLL_BACKOFF_S = 0.5  # what the coordinator would have told counts as told 2 s after a break
 FLUSH_S = 1.0
-FIRST_S = 2.0  # a caller's first request must have come whole by then
-WHOLE_S = 2.0  # as must every further message, from its first byte
+FIRST_S = 2.5  # a caller's first request must have come whole by then: it is owed an answer within 3 s
+WHOLE_S = 5.0  # every further message, from its first byte; some callers' bytes come in pieces
 SWEEP_S = 0.25  # how often these two are looked at
 YOUNG_S = 0.25  # a connection is not put out for others before it could have asked
 DRAIN_SWEEP_S = 0.02  # how often a drain looks for idle connections
@@ -136,13 +136,14 @@
         """Make room for a newcomer: the longest idle goes that is owed no answer, silent ones first.
 
         Guards against callers that connect and say nothing, or ask once and hold on, until no other can
-        connect. What was heard keeps its connection while a silent one can go.
+        connect. What was heard keeps its connection while a silent one can go, and a message that comes in
+        pieces is cut off only where nobody is idle.
         """
         old = self.network.loop.time() - self.bounds.young_s
         idle_ones = [one for one in self.taken if one.last <= old and not one.machine.owes()]
-        one = next((one for one in idle_ones if not one.machine.asked), next(iter(idle_ones), None))
-        if one is None:
+        if not idle_ones:
             return False
+        one = min(idle_ones, key=lambda one: (one.begun > 0, one.machine.asked))  # the first of equals
         del self.taken[one]
         self.network.core.counters.add("connections_evicted")
         if word := one.machine.put_out():
@@ -156,14 +157,17 @@
         """End the connections whose first request, or the rest of a message, has not come in time."""
         while not self.closed or self.taken:
             await asyncio.sleep(SWEEP_S)
-            now = self.network.loop.time()
-            for one in list(self.taken):
-                machine = one.machine
-                late_first = not machine.asked and now - one.since > self.bounds.first_s
-                if machine.closing or not (late_first or (one.begun and now - one.begun > WHOLE_S)):
-                    continue
-                self.network.core.counters.add("connections_expired")
-                machine.expire()
+            self.end_late()
+
+    def end_late(self) -> None:
+        now = self.network.loop.time()
+        for one in list(self.taken):
+            machine = one.machine
+            late_first = not machine.asked and now - one.since > self.bounds.first_s
+            if machine.closing or not (late_first or (one.begun and now - one.begun > WHOLE_S)):
+                continue
+            self.network.core.counters.add("connections_expired")
+            machine.expire()
 
     def end_idle(self) -> None:
         """A drain: end what is idle, unless something has come on it that has not been read."""
