--- a/stairhatch/node/console.py
+++ b/stairhatch/node/console.py
@@ -92,8 +92,11 @@
     def _say(self, text: str) -> None:
         self.core.counters.add("orders_done" if text.startswith("ok") else "orders_failed")
         order = self.data[:40].decode("ascii", "replace").strip()
-        if order != "check" or text.startswith("fail"):
+        said = "ok" if text.startswith("ok") else text
+        if order != "check" or said != self.core.check_said:  # a front asks ten times a second
             self.core.log("order", line=order, answer=text)
+        if order == "check":
+            self.core.check_said = said
         self.answer, self.asked, self.closing = text.encode() + b"\n", True, True
         self.wake()
 
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -227,6 +227,7 @@
         self.list_known = False  # the directory has been heard
         self.drain_since: float | None = None
         self.ending = False  # the drain is for good
+        self.check_said = ""  # what `check` was answered last
         self.leaving = False  # and all that was taken is answered
         self.turn_away_s = TURN_AWAY_S
         self.on_drain: Callable[[], None] = idle  # the driver ends what is idle
@@ -436,6 +437,7 @@
         self.calls[call.number] = self.by_ident[offer.ident] = call
         self.unanswered += 1
         self.counters.add("calls_taken")
+        self.counters.add(f"calls_taken_{offer.kind.name}")
         if self.tracing:
             patience_ms = int(offer.patience_s * 1000)
             self.log("taken", call=offer.ident, kind=offer.kind.name, patience_ms=patience_ms)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 import socket
@@ -12,12 +13,14 @@
 
 import pytest
 
-from stairhatch.__main__ import Config, most_callers
+import stairhatch.__main__ as program_module
+from stairhatch.__main__ import Config, Service, most_callers
 from stairhatch.choice import Controller
 from stairhatch.interface import Standing
 from stairhatch.node import sip
 from stairhatch.node.console import MOST_ORDER, Door
 from stairhatch.node.core import HOLD_S, OLD_CLASS_S, TURN_AWAY_S, Listing
+from stairhatch.node.directory import Directory
 from stairhatch.node.net import FIRST_S, FRESH_S, Bounds, Listening, Taken
 from stairhatch.node.roster import RosterSide
 from stairhatch.node.trunk_front import GREET_S, TrunkFront
@@ -177,6 +180,18 @@
     assert program.process.wait(20) == 0
 
 
+def test_a_check_is_logged_when_its_answer_changes():
+    """Guards against a log full of checks: a front asks ten times a second, for as long as a drain lasts."""
+    inside, lines = Inside(), []
+    inside.core.log = lambda event, **fields: lines.append(fields.get("answer"))
+    for on in (False, True, False):
+        inside.core.drain(on)
+        lines.clear()
+        for _ in range(10):
+            Door(inside.core).receive(b"check\n")
+        assert len(lines) == 1
+
+
 # ---- drains ----
 
 
@@ -670,6 +685,45 @@
     assert 5.0 < at["drained"] - at["stopping"] < 5.7, "by its own clock"
 
 
+def test_the_first_question_to_the_coordinator_is_answered_at_once():
+    """Guards against a new process that is not ready before a whole wait for news is over."""
+    inside = Inside()
+    inside.core.list_known = False
+    directory = Directory(inside.core, ("127.0.0.1", 1), 4)
+    directory.connected()
+    assert int(directory.pull().split(b"wait_ms=")[1].split()[0]) <= 100
+    body = b'{"index":4,"updates":[]}'
+    directory.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+    assert inside.core.list_known and int(directory.pull().split(b"wait_ms=")[1].split()[0]) >= 1000
+
+
+def test_a_coordinator_that_says_nothing_does_not_keep_a_known_list_from_serving():
+    """Guards against a softswitch that waits for news though it was told a list at its start."""
+    inside = Inside()
+    inside.core.list_known = False
+    Directory(inside.core, ("127.0.0.1", 1), 4).connected()
+    assert inside.core.why_not()
+    inside.run(2.0)
+    assert not inside.core.why_not()
+
+
+def test_the_end_does_not_wait_for_a_peer_that_does_not_read(monkeypatch, tmp_path):
+    """Guards against a program that never ends because somebody takes no answer."""
+    settings = settings_from(SETTINGS)[0]
+    monkeypatch.setattr(program_module, "FLUSHED_S", 0.05)
+    monkeypatch.setattr(program_module, "STAY_S", 0.0)
+
+    async def story():
+        known = {"index": 0, "updates": []}
+        service = Service(Config("n", settings, listen=("127.0.0.1", 0), known=known), lambda: None)
+        service.listen()
+        service.follow()
+        service.trunk.flushed = lambda: False
+        await asyncio.wait_for(service.end(), 20)
+
+    asyncio.run(story())
+
+
 @pytest.mark.parametrize(
     ("given", "says"), [("99", "descriptor 99"), ("x", "invalid literal"), ("1", "descriptor 1")]
 )
