Doubt a silent link though the set-ups on it are given up before they make it suspect

In the log of the 0.87 a link was doubted after 4.69 s of silence: in RosterLink.suspect only open set-ups counted, and each had been given up within 0.35 s. The chain of healthy links ended had hidden it, since links were replaced each second. Ruled out: callers cut off (none).

--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -264,6 +264,7 @@
         self.spoilt = False
         self.up_at = math.inf  # when the connection came up; none: never
         self.heard_at = -math.inf  # when something last came
+        self.asked_at = -math.inf  # when the first set-up was written after that, be it given up by now
         self.left_at = -math.inf  # when it was passed over for another
         self.ending = False  # it is about to be found dead, unless something comes
         self.states = 0  # reports that came unasked, on this connection
@@ -288,6 +289,8 @@
         if self.up_at > now:
             return False
         last = max(self.heard_at, self.up_at)
+        if self.asked_at > last and now - self.asked_at > SILENT_S:
+            return True
         for attempt in self.open.values():  # the first is the one written first
             return now - max(last, attempt.written_at) > SILENT_S
         gap = (last - self.up_at) / self.states if self.states > 2 else math.inf
@@ -373,6 +376,8 @@
                 if left_ms is None:
                     continue
                 offer = item.call.offer
+                if self.asked_at <= max(self.heard_at, self.up_at):
+                    self.asked_at = core.clock()
                 self.open[offer.ident] = item
                 line = start_line(offer.ident, offer.kind.name, offer.key, offer.description, left_ms)
             elif isinstance(item, Release):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -850,3 +850,23 @@
     links[1].receive(state)
     inside.run(0.5)
     assert aborted
+
+
+def test_a_silent_link_is_doubted_though_its_set_ups_are_given_up_early():
+    """Guards against a link that was cut off without a word and is used for 4.7 s: each set-up on it was
+    given up before it had been open long enough to make it suspect (pieces+silent+leave, snapshot 2875ccb7).
+    """
+    inside, links = Inside(), []
+    side = RosterSide(inside.core, links.append)
+    inside.core.list_servers([Listing("t", ("127.0.0.1", 9), 0, Standing.READY)], True)
+    links[0].connected()
+    connection = TrunkFront(inside.core).connect()
+    for _ in range(4):
+        connection.receive(trunk_invite(ident := next(IDS)))
+        inside.run(0.01)
+        assert b"START" in links[0].pull()
+        inside.run(0.15)
+        headers = [("call-id", ident), ("cseq", "1 CANCEL")]
+        connection.receive(sip.request("CANCEL", "sip:x@net", headers, b""))
+        links[0].pull()
+    assert side.spares and not links[0].open
