--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -34,6 +34,7 @@
 APART_S = 0.2  # what comes on two links for the same cause may lie so far apart
 DOUBT_S, LONGEST_DOUBT_S = 1.0, 16.0  # between two looks for another way to the same server
 MOST_TIMES = 3  # a release is written so often at most, should each connection break under it
+MOST_LEFT = 3  # links passed over beside the one in use: a server tells its state on four
 KEPT_S = 10.0  # releases written on a link that turns out to be dead are written again on the next
 IDENT = re.compile(r"[0-9a-fA-F]{16}\Z")
 VERBS = ("PENDING", "STARTED", "FINISH", "FINISHED", "ECHO", "ECHOED", "LOAD")
@@ -151,7 +152,12 @@
         self.core.at(now + LOOK_S, self._look)
         spare: list[RosterLink] = []
         for ident, link in self.links.items():
-            if ident in self.spares or link.retired or not link.suspect(now) or now < link.doubt_from:
+            if ident in self.spares or link.retired or not link.suspect(now):
+                continue
+            # Each new link is told a state first: where nothing came at all, the server is not merely slow.
+            beside = sum(each.server is link.server for each in self.left)
+            unheard = link.heard_at < link.up_at and beside < MOST_LEFT
+            if now < link.doubt_from and not unheard:
                 continue
             link.doubt_s = min(LONGEST_DOUBT_S, 2 * link.doubt_s)
             link.doubt_from = now + link.doubt_s
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -870,3 +870,23 @@
         connection.receive(sip.request("CANCEL", "sip:x@net", headers, b""))
         links[0].pull()
     assert side.spares and not links[0].open
+
+
+def test_a_second_link_that_says_nothing_at_all_is_doubted_at_once():
+    """Guards against links cut off one after the other as they come up, each used for twice as long as the
+    one before: 6 s without set-ups at that server (pieces+silent+leave, snapshot ee1e40c6).
+    """
+    inside, links = Inside(), []
+    side = RosterSide(inside.core, links.append)
+    inside.core.list_servers([Listing("t", ("127.0.0.1", 9), 0, Standing.READY)], True)
+    connection = TrunkFront(inside.core).connect()
+    began = inside.now
+    while len(links) < 4:
+        links[-1].connected()
+        while not side.spares:
+            connection.receive(trunk_invite(ident := next(IDS), "9000"))
+            inside.run(0.1)
+            links[-1].pull()
+            headers = [("call-id", ident), ("cseq", "1 CANCEL")]
+            connection.receive(sip.request("CANCEL", "sip:x@net", headers, b""))
+            assert inside.now < began + 3, "a wait that doubles"
