Leave a coordinator that a reload has replaced while it was being dialled

Network.follow read the address, awaited the connection and went on with it though Directory.move had named another in between, where abort finds no connection yet: the old one was asked for as long as it answered.

--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -461,12 +461,15 @@
         directory.hurry = hurry.set
         while True:
             hurry.clear()
-            answers = directory.answers
+            answers, address = directory.answers, directory.address
             try:
-                sock = await self._connect(directory.address)
+                sock = await self._connect(address)
             except (OSError, TimeoutError):
                 self.core.counters.add("directory_unreached")
             else:
+                if directory.address != address:  # it has moved in the meantime
+                    sock.close()
+                    continue
                 directory.connected()
                 await self._run(sock, directory)
             if hurry.is_set() or directory.answers > answers:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -22,7 +22,7 @@
 from stairhatch.node.console import MOST_ORDER, Door
 from stairhatch.node.core import HOLD_S, OLD_CLASS_S, TURN_AWAY_S, Listing
 from stairhatch.node.directory import Directory
-from stairhatch.node.net import FIRST_S, FRESH_S, Bounds, Listening, Taken
+from stairhatch.node.net import FIRST_S, FRESH_S, Bounds, Listening, Network, Taken
 from stairhatch.node.roster import RosterSide
 from stairhatch.node.trunk_front import GREET_S, TrunkFront
 from stairhatch.settings import settings_from
@@ -890,3 +890,28 @@
             headers = [("call-id", ident), ("cseq", "1 CANCEL")]
             connection.receive(sip.request("CANCEL", "sip:x@net", headers, b""))
             assert inside.now < began + 3, "a wait that doubles"
+
+
+def test_a_reload_while_the_coordinator_is_dialled_goes_to_the_new_one():
+    """Guards against a softswitch that stays with the old coordinator, which it was just about to reach."""
+
+    async def story():
+        inside, asked, ends = Inside(), [], []
+        network, directory = Network(inside.core), Directory(inside.core, ("127.0.0.1", 1), 4)
+
+        async def connect(address):
+            asked.append(address)
+            if len(asked) == 1:
+                directory.move(("127.0.0.1", 2))
+            ours, theirs = socket.socketpair()
+            ends.append(theirs)  # stays open, as the old coordinator's does
+            return ours
+
+        network._connect = connect
+        task = network.spawn(network.follow(directory))
+        for _ in range(20):
+            await asyncio.sleep(0)
+        task.cancel()
+        assert asked[:2] == [("127.0.0.1", 1), ("127.0.0.1", 2)]
+
+    asyncio.run(story())
