--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -197,11 +197,7 @@
         old.wake()
 
     def heard(self, link: RosterLink, state: bool) -> None:
-        """Something came. Where another link to the server should have heard of it too, that one is dead.
-
-        Guards also against healthy links that are ended one after the other, each for the answers on the one
-        opened after it: 22 in 20 s at one node (pieces+silent+leave, snapshot 2871c53d).
-        """
+        """Something came. Where another link to the server should have heard of it too, that one is dead."""
         now = self.core.clock()
         link.heard_at = now
         if state:
@@ -209,8 +205,6 @@
         if not self.left or link in self.left or (state and link.states < 2):
             return  # the first state comes on each new connection by itself
         for old in self.left:
-            if not state and not old.open:
-                continue  # an answer comes on its set-up's own link, and none is due here
             silent = max(old.heard_at, link.up_at, old.up_at) < now - APART_S
             if old.server is link.server and silent and not old.ending:
                 old.ending = True
