Split the SIP front into transactions, dialogs, sessions, auth and flows of a package

Need: one class held transport, transactions, dialogs and policy, so re-INVITE, UPDATE, PRACK, session timers, authentication and IPv6 could not be added where it stood; each remembered call cost 7 KB, and a table of 20,000 transactions capped the front at 312 calls a second.

Change: stairhatch/sip/ holds message, grammar, heads, transactions (RFC 6026, what is over shrinks to a key or a key and its answer, bounded by bytes), dialogs, sessions (RFC 3264, 3311, 3262, 4028), auth (RFC 8760), flows, leg and front. Timers of the core name calls and no longer hold them.

--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from itertools import count
 from typing import Protocol
 
@@ -97,8 +98,11 @@
 
 
 class Caller(Protocol):
-    """One call as its front holds it. Exactly one of `stood`, `refused` and `failed` is called, once."""
+    """One call as its front holds it. Exactly one of `stood`, `refused` and `failed` is called, once; before
+    it `rang` any number of times, where a front asked for that (`Offer.rings`).
+    """
 
+    def rang(self) -> None: ...
     def stood(self, description: bytes) -> None: ...
     def refused(self, return_s: float) -> None: ...
     def failed(self, timed_out: bool) -> None: ...
@@ -135,6 +139,7 @@
     choice: int = -1
     called: int = 0
     redial: bool = False
+    rings: bool = False  # its front is told that a roster server is at work on it
 
 
 @dataclass(frozen=True, slots=True)
@@ -441,7 +446,7 @@
         if self.tracing:
             patience_ms = int(offer.patience_s * 1000)
             self.log("taken", call=offer.ident, kind=offer.kind.name, patience_ms=patience_ms)
-        self.at(call.deadline + BACKSTOP_S, lambda: self._backstop(call))
+        self.at(call.deadline + BACKSTOP_S, partial(self._backstop, call.number))
         self._tell(
             say.CallOffered(
                 call=call.number,
@@ -498,8 +503,12 @@
                 self._final(call, say.RefuseCall(call.number) if harmless else say.FailCall(call.number))
                 self._tell(say.CallerLeft(call.number))
 
-    def _backstop(self, call: Call) -> None:
-        if call.stage is Stage.OFFERED:
+    def _backstop(self, number: int) -> None:
+        """By the call's number: a timer that held the call kept it, its caller and its description until the
+        longest wait was over, long after its end.
+        """
+        call = self.calls.get(number)
+        if call is not None and call.stage is Stage.OFFERED:
             self.log("guard", call=call.offer.ident, why="the decisions left it unanswered")
             self._final(call, say.FailCall(call.number))
             self._tell(say.CallerLeft(call.number))
@@ -539,6 +548,15 @@
         if not attempt.over and attempt.call.stage is Stage.OFFERED:
             self._attempt_ended(attempt, Ending.RESET, Report())
 
+    def pending(self, server: Server, ident: str) -> None:
+        """A roster server is at work on a set-up."""
+        call = self.by_ident.get(ident)
+        attempt = call.attempt if call is not None and call.stage is Stage.OFFERED else None
+        if call is None or attempt is None or not call.offer.rings:
+            return
+        if attempt.server is server and attempt.written:
+            call.caller.rang()
+
     def answered(self, server: Server, ident: str, description: str) -> None:
         """A roster server says that the call stands."""
         call = self.by_ident.get(ident)
@@ -686,7 +704,7 @@
         if barred or not ready or call.attempts > call.cap or due <= max(now, call.pause_until):
             self._attempt_ended(attempt, Ending.NOT_SENT, Report())
             return
-        self.at(due, lambda: self._timed_out(attempt))
+        self.at(due, partial(self._timed_out, call.number, attempt.number))
         if now < call.pause_until:
             self.at(call.pause_until, lambda: self._start(attempt))
         else:
@@ -696,8 +714,10 @@
         if not attempt.over:
             self.side.set_up(attempt)
 
-    def _timed_out(self, attempt: Attempt) -> None:
-        if not attempt.over and attempt.call.stage is Stage.OFFERED:
+    def _timed_out(self, number: int, attempt_number: int) -> None:
+        call = self.calls.get(number)
+        attempt = call.attempt if call is not None and call.stage is Stage.OFFERED else None
+        if attempt is not None and attempt.number == attempt_number and not attempt.over:
             self._give_up(attempt, Ending.TIMED_OUT)
 
     def _give_up(self, attempt: Attempt, ending: Ending) -> None:
--- a/stairhatch/node/directory.py
+++ b/stairhatch/node/directory.py
@@ -32,8 +32,10 @@
 
 
 def parse_address(text: object) -> tuple[str, int]:
-    """`host:port`."""
+    """`host:port`, with IPv6 in brackets."""
     host, _, port = str(text).rpartition(":")
+    if ":" in host:
+        host = host[1:-1] if host[0] == "[" and host[-1] == "]" else ""
     if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
         raise DirectoryError(f"{text!r} is no address")
     return host, int(port)
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -8,16 +8,16 @@
 
 import asyncio
 import contextlib
+import math
 import socket
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from stairhatch.node.core import Core, Machine, idle
 from stairhatch.node.directory import Directory
 from stairhatch.node.roster import RosterLink
-from stairhatch.node.sip_front import SipConnection, SipDatagrams
 
 BUFFER_BYTES = 16 * 1024
 CONNECT_S = 0.5
@@ -34,7 +34,22 @@
 LINGER_S, LINGER_BYTES = 0.2, 256 * 1024  # what still comes is read after the last answer, so that it arrives
 
 
-Accept = Callable[[tuple[str, int]], Machine]
+Place = tuple[str, int]
+Accept = Callable[[Place], Machine]
+
+
+class Datagrams(Protocol):
+    """A port of datagrams, as a state machine."""
+
+    output: deque[tuple[bytes, Place]]
+    wake: Callable[[], None]
+
+    def receive(self, data: bytes, peer: Place) -> None: ...
+
+
+def family(host: str) -> int:
+    """Of an address's socket."""
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
 
 
 class Pool:
@@ -73,6 +88,7 @@
     most: int  # connections at a time
     first_s: float = FIRST_S
     young_s: float = YOUNG_S
+    idle_s: float = math.inf  # one on which nothing came for so long, and nothing is owed, is ended
 
 
 class Listening:
@@ -164,6 +180,10 @@
         for one in list(self.taken):
             machine = one.machine
             late_first = not machine.asked and now - one.since > self.bounds.first_s
+            if now - one.last > self.bounds.idle_s and not machine.closing and machine.idle():
+                self.network.core.counters.add("connections_idle_ended")
+                machine.leave()
+                continue
             if machine.closing or not (late_first or (one.begun and now - one.begun > WHOLE_S)):
                 continue
             self.network.core.counters.add("connections_expired")
@@ -244,8 +264,10 @@
         if isinstance(at, socket.socket):
             sock = at
         else:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = socket.socket(family(at[0]), socket.SOCK_STREAM)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if sock.family == socket.AF_INET6:
+                sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
             sock.bind(at)
             sock.listen(512)
         sock.setblocking(False)
@@ -355,8 +377,8 @@
             self.core.log("fault", why=f"{type(error).__name__}: {error}", machine=type(machine).__name__)
         abort()
 
-    async def _connect(self, address: tuple[str, int]) -> socket.socket:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    async def _connect(self, address: Place) -> socket.socket:
+        sock = socket.socket(family(address[0]), socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
             await asyncio.wait_for(self.loop.sock_connect(sock, address), CONNECT_S)
@@ -365,13 +387,13 @@
             raise
         return sock
 
-    def dial_caller(self, connection: SipConnection) -> None:
+    def dial_caller(self, connection: Machine, peer: Place) -> None:
         """Open a connection to a caller, for what it has to be told."""
-        self.spawn(self._dial_caller(connection))
+        self.spawn(self._dial_caller(connection, peer))
 
-    async def _dial_caller(self, connection: SipConnection) -> None:
+    async def _dial_caller(self, connection: Machine, peer: Place) -> None:
         try:
-            sock = await self._connect(connection.peer)
+            sock = await self._connect(peer)
         except (OSError, TimeoutError):
             self.core.counters.add("callers_unreached")
             connection.lost()
@@ -380,12 +402,14 @@
 
     # ---- datagrams ----
 
-    def datagrams(self, address: tuple[str, int], port: SipDatagrams) -> socket.socket:
+    def datagrams(self, address: Place, port: Datagrams) -> socket.socket:
         """Take and send datagrams. uvloop 0.23 has no sock_recvfrom_into or sock_sendto (both raise
         NotImplementedError), so the socket is watched and read here, into one buffer of the pool.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock = socket.socket(family(address[0]), socket.SOCK_DGRAM)
         sock.setblocking(False)
+        if sock.family == socket.AF_INET6:
+            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
         sock.bind(address)
         buffer = self.pool.take()
         self.loop.add_reader(sock, self._read_datagrams, sock, buffer, port)
@@ -409,7 +433,7 @@
         port.wake = send
         return sock
 
-    def _read_datagrams(self, sock: socket.socket, buffer: bytearray, port: SipDatagrams) -> None:
+    def _read_datagrams(self, sock: socket.socket, buffer: bytearray, port: Datagrams) -> None:
         for _ in range(64):  # then others have their turn
             try:
                 size, peer = sock.recvfrom_into(buffer)
@@ -417,7 +441,7 @@
                 return
             except OSError:
                 continue  # an earlier datagram came back as unreachable
-            port.receive(bytes(memoryview(buffer)[:size]), peer)
+            port.receive(bytes(memoryview(buffer)[:size]), (peer[0], peer[1]))
 
     # ---- what the softswitch keeps connections to ----
 
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -445,6 +445,9 @@
             core.load_told(self.server, report)
             self.open.pop(ident, None)
             core.answered(self.server, ident, blob)
+        elif verb == "PENDING":
+            if isinstance(ident, str):
+                core.pending(self.server, ident)
         elif verb == "FINISH":
             self.open.pop(ident, None)
             core.finished(self.server, ident, cause, note, report)
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass, field
 from functools import lru_cache, partial
 
-from stairhatch.node import roster, sip
+from stairhatch.node import roster
 from stairhatch.node.core import AWAY_S, ENDED, Call, Core, Machine, Offer
+from stairhatch.sip import message as sip
 
 MOST_OUTPUT = 128 * 1024  # a caller that reads so much too slowly is cut off
 RELEASE_KEPT_S = 30.0  # how long a release waits for a caller to connect
@@ -171,6 +172,9 @@
             self.connection.front.calls.pop(ident, None)
             self.call = None  # no cycle is left for the collector: it paused a busy node for too long
 
+    def rang(self) -> None:
+        """The platform's callers are told of the end of a set-up alone."""
+
     def stood(self, description: bytes) -> None:
         self._answer(200, [], description)
 
--- /dev/null
+++ b/stairhatch/sip/flows.py
@@ -0,0 +1,226 @@
+"""The ways that messages come and go: owns the state of one UDP port and of one TCP connection, as machines
+that are fed bytes and hand bytes out. It must never know a socket, and never look further into a message than
+to cut it out of a stream; what a message means is for whoever is given it (`Receiver`).
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from stairhatch.node.core import Counters, Machine, idle
+from stairhatch.sip import message as sip
+
+MOST_OUTPUT = 256 * 1024  # of a connection; one that reads so much too slowly is cut off
+MOST_DATAGRAMS = 4096  # waiting to be sent
+PING, PONG = b"\r\n\r\n", b"\r\n"  # RFC 5626, 4.4.1
+MOST_FAULTS = 8  # messages that can't be read on one connection, in step or not
+Place = tuple[str, int]
+
+
+def is_address(host: str) -> bool:
+    """Whether it is an address and no name. Names are not looked up: that would hold up everybody."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def is_v6(host: str) -> bool:
+    """Whether an address is of IPv6."""
+    return ":" in host
+
+
+def host_port(place: Place) -> str:
+    """`host:port`, with IPv6 in brackets."""
+    host, port = place
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+class Flow:
+    """A way back to a peer. `local` is our end of it."""
+
+    reliable = False
+    alive = True
+    peer: Place = ("", 0)
+    local: Place = ("", 0)
+
+    def send(self, data: bytes) -> None:
+        """Queue a message."""
+        raise NotImplementedError
+
+    @property
+    def transport(self) -> str:
+        """As a Via names it."""
+        return "TCP" if self.reliable else "UDP"
+
+
+class Receiver(Protocol):
+    """Whoever is given what has come, or could not be read."""
+
+    counters: Counters
+
+    def receive(self, flow: Flow, message: sip.Message) -> None: ...
+    def malformed(self, flow: Flow, error: sip.SipError) -> None: ...
+    def flow_lost(self, flow: Flow) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Networks:
+    """Whom a listener hears: an empty list is everybody."""
+
+    allowed: tuple[ipaddress.IPv4Network | ipaddress.IPv6Network, ...] = ()
+
+    def admits(self, host: str) -> bool:
+        """Whether messages from an address are read."""
+        if not self.allowed:
+            return True
+        try:
+            address = ipaddress.ip_address(host.partition("%")[0])
+        except ValueError:
+            return False
+        mapped = getattr(address, "ipv4_mapped", None)
+        return any(
+            each is not None and each.version == net.version and each in net
+            for net in self.allowed
+            for each in (address, mapped)
+        )
+
+
+class SipDatagrams:
+    """A UDP port: datagrams in, datagrams out."""
+
+    def __init__(self, owner: Receiver, local: Place = ("", 0), networks: Networks | None = None) -> None:
+        self.owner, self.local = owner, local
+        self.networks = networks or Networks()
+        self.output: deque[tuple[bytes, Place]] = deque(maxlen=MOST_DATAGRAMS)
+        self.wake: Callable[[], None] = idle
+
+    def receive(self, data: bytes, peer: Place) -> None:
+        """One datagram. What is malformed and can't be answered is counted and dropped."""
+        if not self.networks.admits(peer[0]):
+            self.owner.counters.add("datagrams_barred")
+            return
+        if not data.strip(b"\r\n\0 "):
+            return  # a keep-alive
+        flow = UdpFlow(self, (peer[0], peer[1]))
+        try:
+            message = sip.parse_datagram(data)
+        except sip.SipError as error:
+            self.owner.malformed(flow, error)
+            return
+        self.owner.receive(flow, message)
+
+
+class UdpFlow(Flow):
+    """A peer's address, by one of our ports."""
+
+    __slots__ = ("peer", "port")
+
+    def __init__(self, port: SipDatagrams, peer: Place) -> None:
+        self.port, self.peer = port, peer
+
+    @property
+    def local(self) -> Place:  # type: ignore[override]
+        """Our port's address."""
+        return self.port.local
+
+    def send(self, data: bytes) -> None:
+        self.port.output.append((data, self.peer))
+        self.port.wake()
+
+
+class SipConnection(Machine, Flow):
+    """A TCP connection, taken or dialled."""
+
+    reliable = True
+
+    def __init__(self, owner: Receiver, peer: Place = ("", 0), local: Place = ("", 0)) -> None:
+        super().__init__()
+        self.owner, self.peer, self.local = owner, peer, local
+        self.output: list[bytes] = []
+        self.size = 0
+        self.faults = 0
+        self.parser = sip.StreamParser(stays=True)
+        self.owed: set[bytes] = set()  # transactions that await their final answer here
+        self.dialogs = 0  # that stand on it
+
+    def owes(self) -> bool:
+        """Whether a final answer is owed on it, or one waits to be written."""
+        return bool(self.owed or self.output)
+
+    def partial(self) -> bool:
+        """Whether the rest of a message is awaited."""
+        return self.parser.partial()
+
+    def idle(self) -> bool:
+        """Also that no dialog stands on it: a drain lets those end, and their BYE come by it."""
+        return super().idle() and not self.dialogs
+
+    def expire(self) -> None:
+        """A message has not come whole in time: its request is answered, if its head could be read."""
+        if (begun := self.parser.begun) is not None:
+            self.owner.malformed(self, sip.SipError(408, "the rest of a message never came", begun))
+        super().expire()
+
+    def leave(self) -> None:
+        """Nothing more goes this way: what is due to the peer later is dialled or sent by UDP."""
+        self._forsake()
+        super().leave()
+
+    def send(self, data: bytes) -> None:
+        self.output.append(data)
+        self.size += len(data)
+        if self.size > MOST_OUTPUT:
+            self.owner.counters.add("slow_callers_cut")
+            self.closing = True
+            self.abort()
+        self.wake()
+
+    def receive(self, data: bytes | memoryview) -> None:
+        """Bytes from the peer. After a malformed message of unknown length the stream is closed."""
+        if self.closing:
+            return
+        self.parser.feed(data)
+        while not self.closing:
+            try:
+                message = self.parser.next()
+            except sip.SipError as error:
+                self.faults += 1
+                self.owner.malformed(self, error)
+                if not error.in_step or self.faults >= MOST_FAULTS:
+                    self.closing = True
+                    self.wake()
+                continue
+            self._pong()
+            if message is None:
+                return
+            self.asked = True
+            self.owner.receive(self, message)
+
+    def _pong(self) -> None:
+        if self.parser.pings:
+            self.asked = True
+            self.owner.counters.add("pings", self.parser.pings)
+            self.parser.pings = 0
+            self.send(PONG)  # one for all that came at once
+
+    def pull(self) -> bytes:
+        data = b"".join(self.output)
+        self.output.clear()
+        self.size = 0
+        return data
+
+    def lost(self) -> None:
+        """The connection has ended. Calls and dialogs live on: they are reached another way."""
+        self._forsake()
+        self.owner.counters.add("connections_lost")
+
+    def _forsake(self) -> None:
+        if self.alive:
+            self.alive = False
+            self.owner.flow_lost(self)
--- a/stairhatch/node/sip.py
+++ b/stairhatch/sip/message.py
@@ -1,6 +1,6 @@
 """SIP's text form (RFC 3261, section 7): owns the incremental parser and the writer that both fronts use.
-It knows message syntax only: it must never know transactions, calls, timers or sockets, and must never keep
-more than one message's worth of bytes.
+It knows the syntax of whole messages only, what stands inside a header is `grammar`'s: it must never know
+transactions, calls, timers or sockets, and must never keep more than one message's worth of bytes.
 """
 
 from __future__ import annotations
@@ -31,14 +31,22 @@
 REASONS = {
     100: "Trying",
     180: "Ringing",
+    183: "Session Progress",
     200: "OK",
+    202: "Accepted",
     400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
     413: "Request Entity Too Large",
     415: "Unsupported Media Type",
     416: "Unsupported URI Scheme",
     420: "Bad Extension",
+    421: "Extension Required",
+    422: "Session Interval Too Small",
+    469: "Bad Info Package",
     480: "Temporarily Unavailable",
     481: "Call/Transaction Does Not Exist",
     482: "Loop Detected",
@@ -49,17 +57,21 @@
     500: "Server Internal Error",
     501: "Not Implemented",
     503: "Service Unavailable",
+    504: "Server Time-out",
     505: "Version Not Supported",
+    513: "Message Too Large",
 }
 Headers = list[tuple[str, str]]
 
 
 class SipError(ValueError):
-    """A message that can't be taken. `partial` is what could be read of it, if it can be answered at all."""
+    """A message that can't be taken. `partial` is what could be read of it, if it can be answered at all;
+    `in_step` tells that the messages behind it on a stream can be read all the same.
+    """
 
     def __init__(self, status: int, why: str, partial: Message | None = None) -> None:
         super().__init__(why)
-        self.status, self.partial = status, partial
+        self.status, self.partial, self.in_step = status, partial, False
 
 
 @dataclass(slots=True)
@@ -87,48 +99,53 @@
                 found.extend(split_list(value))
         return found
 
+    def all_lines(self, name: str) -> list[str]:
+        """All values of that name as they stand, one a line: of headers that commas don't part."""
+        return [value for key, value in self.headers if key == name]
+
     def cseq(self) -> tuple[int, str]:
         """Number and method of CSeq; (-1, "") where it is malformed."""
         number, _, method = self.get("cseq").partition(" ")
+        if not number.isascii() or not number.isdigit():
+            number, method = (*self.get("cseq").split(None, 1), "", "")[:2]  # other white space is as good
         if not number.isascii() or not number.isdigit() or len(number) > 10 or int(number) >= 2**31:
             return -1, ""
         return int(number), method.strip()
 
 
+APART = re.compile(r'"(?:[^"\\]|\\.)*"|<[^>]*>|,')  # commas within the first two part nothing
+
+
 def split_list(value: str) -> list[str]:
     """Cut a header at its commas, but not inside quotes or angle brackets."""
     if "," not in value:
         return [value.strip()]
-    pieces, start, quoted, angled = [], 0, False, False
-    for at, char in enumerate(value):
-        if char == '"' and (at == 0 or value[at - 1] != "\\"):
-            quoted = not quoted
-        elif quoted:
-            continue
-        elif char in "<>":
-            angled = char == "<"
-        elif char == "," and not angled:
-            pieces.append(value[start:at].strip())
-            start = at + 1
+    pieces, start = [], 0
+    for found in APART.finditer(value):
+        if found.group() == ",":
+            pieces.append(value[start : found.start()].strip())
+            start = found.end()
     pieces.append(value[start:].strip())
     return [piece for piece in pieces if piece]
 
 
-def parameters(value: str) -> dict[str, str]:
-    """The `;name=value` parameters after the address or first word of a header, names in lower case."""
-    rest = value[value.rindex(">") + 1 :] if ">" in value else value
-    found = {}
-    for piece in rest.split(";")[1:]:
-        name, _, text = piece.partition("=")
-        found[name.strip().lower()] = text.strip().strip('"')
-    return found
+PARAMETER = re.compile(r';\s*([^\s;="]+)\s*(?:=\s*("(?:[^"\\]|\\.)*"|[^;"]*))?')
+BEFORE = re.compile(r'\s*(?:"(?:[^"\\]|\\.)*"|[^"<;])*(?:<[^>]*>)?')
+ESCAPED = re.compile(r"\\(.)")
 
 
-def address_of(value: str) -> str:
-    """The URI inside a From, To, Contact or Route header."""
-    if "<" in value and ">" in value:
-        return value[value.index("<") + 1 : value.index(">")]
-    return value.split(";")[0].strip()
+def parameters(value: str) -> dict[str, str]:
+    """The `;name=value` parameters after the address or first word of a header, names in lower case. What is
+    in quotes or angle brackets is none. Takes what it can read; `grammar` tells what is malformed.
+    """
+    before = BEFORE.match(value)
+    found: dict[str, str] = {}
+    for piece in PARAMETER.finditer(value, before.end() if before else 0):
+        text = (piece.group(2) or "").strip()
+        if text[:1] == '"':
+            text = ESCAPED.sub(r"\1", text[1:-1])
+        found.setdefault(piece.group(1).lower(), text)
+    return found
 
 
 def user_of(uri: str) -> str:
@@ -241,14 +258,29 @@
     return message
 
 
+LENGTH = re.compile(rb"(?:\A|\n)(?:content-length|l)[ \t]*:[ \t]*(\d{1,7})[ \t]*(?=\r|\n|\Z)", re.I)
+MOST_SKIPPED = 256 * 1024  # of a message that can't be used; a longer one ends its stream
+
+
+def _told_length(head: bytes) -> int:
+    """How long the body behind a head is that can't be used otherwise; -1 where that isn't told, or twice."""
+    told = {int(text) for text in LENGTH.findall(head)}
+    return told.pop() if len(told) == 1 else -1
+
+
 class StreamParser:
-    """Cuts a byte stream into messages. After a SipError the stream can't be followed any further."""
+    """Cuts a byte stream into messages. After a SipError the stream can't be followed any further, unless
+    `stays` was asked for and the error is `in_step`: then what belongs to the bad message is passed over.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, stays: bool = False) -> None:
+        self.pings = 0  # CRLF CRLF between messages, not yet answered (RFC 5626, 4.4.1)
+        self._stays = stays
         self._data = bytearray()
         self._message: Message | None = None
         self._length = 0
         self._seen = 0
+        self._skip = 0  # bytes of a bad message that are still to come
 
     def feed(self, data: bytes | memoryview) -> None:
         """Add what has come."""
@@ -256,6 +288,10 @@
 
     def next(self) -> Message | None:
         """The next whole message, or None until more has come."""
+        if self._skip:
+            passed = min(self._skip, len(self._data))
+            del self._data[:passed]
+            self._skip -= passed
         if self._message is None and not self._next_head():
             return None
         message = self._message
@@ -273,7 +309,7 @@
 
     def partial(self) -> bool:
         """Whether a message has begun and its rest is awaited."""
-        return self._message is not None or bool(self._data.strip(b"\r\n"))
+        return self._message is not None or self._skip > 0 or bool(self._data.strip(b"\r\n"))
 
     def _next_head(self) -> bool:
         if not self._data:
@@ -282,24 +318,48 @@
         while skip < len(self._data) and self._data[skip] in b"\r\n":
             skip += 1  # keep-alives between messages
         if skip:
+            if self._stays:
+                pings = self._data[:skip].count(b"\r\n\r\n")
+                self.pings += pings
+                if skip == len(self._data):  # half a ping may wait for its other half
+                    skip = self._data.rfind(b"\r\n\r\n", 0, skip) + 4 if pings else max(0, skip - 3)
             del self._data[:skip]
             self._seen = 0
         end = self._data.find(b"\r\n\r\n", max(0, self._seen - 3))
         self._seen = len(self._data)
         if end < 0 or end + 4 > MOST_BYTES:
             if len(self._data) > MOST_BYTES:
-                raise SipError(413, "head longer than 16 KiB")
+                raise self._endless_head()
             return False
-        message = _head(bytes(self._data[:end]))
-        length = _length(message)
-        if length is None:
-            raise SipError(400, "no Content-Length on a stream", message)
-        if end + 4 + length > MOST_BYTES:
-            raise SipError(413, "longer than 16 KiB", message)
+        head = bytes(self._data[:end])
+        try:
+            message = _head(head)
+            length = _length(message)
+            if length is None:
+                raise SipError(400, "no Content-Length on a stream", message)
+            if end + 4 + length > MOST_BYTES:
+                raise SipError(413, "longer than 16 KiB", message)
+        except SipError as error:
+            if self._stays and 0 <= (told := _told_length(head)) <= MOST_SKIPPED:
+                error.in_step = True
+                del self._data[: end + 4]
+                self._skip, self._seen = told, 0
+            raise
         del self._data[: end + 4]
         self._message, self._length, self._seen = message, length, 0
         return True
 
+    def _endless_head(self) -> SipError:
+        """A head beyond the limit: answered, where it may be, from its first 16 KiB."""
+        partial = None
+        if self._stays:
+            begin = bytes(self._data[:MOST_BYTES])
+            try:
+                partial = _head(begin[: begin.rfind(b"\r\n")])
+            except SipError as error:
+                partial = error.partial
+        return SipError(513 if self._stays else 413, "head longer than 16 KiB", partial)
+
 
 NAMES = {"cseq": "CSeq", "call-id": "Call-ID"}  # others are written as Like-This, and kept here
 
--- /dev/null
+++ b/stairhatch/sip/transactions.py
@@ -0,0 +1,400 @@
+"""Transactions (RFC 3261, section 17, with RFC 6026 and RFC 4320): owns the four machines, one table for
+them, and what must be remembered of those that are over. It is fed requests and responses, sends on flows, is
+given a clock and timers, and tells its user each request and each response once: a user never sees a copy. It
+must never know a dialog, a call or a socket, and must never grow beyond its bytes.
+
+What is over shrinks: an answered INVITE to a key, another request to a key and its answer. A record of what
+must only be recognised costs about 170 bytes, one that may have to be answered again 200 and its answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from functools import partial
+from typing import Protocol
+
+from stairhatch.node.core import Counters
+from stairhatch.sip import message as sip
+from stairhatch.sip.flows import Flow, SipConnection, UdpFlow
+from stairhatch.sip.heads import Head, render
+
+T1, T2, T4 = 0.5, 4.0, 5.0  # seconds (RFC 3261, 17.1.1.1)
+LAST = 64 * T1  # timers B, F, H, J, L and M
+SPAN_S = 2.0  # records of what is over are dropped in bundles of so long
+LIVE_BYTES, RECORD_BYTES = 3072, 170  # what one costs beside its texts
+SOURCE_SHARE = 0.25  # of the open transactions' room, that one source may hold once half is in use
+
+
+class State(Enum):
+    """Of any of the four machines."""
+
+    CALLING = "calling"
+    TRYING = "trying"
+    PROCEEDING = "proceeding"
+    ACCEPTED = "accepted"
+    COMPLETED = "completed"
+    CONFIRMED = "confirmed"
+    TERMINATED = "terminated"
+
+
+class Clockwork(Protocol):
+    """What gives the time and calls back; the core is one."""
+
+    clock: Callable[[], float]
+    counters: Counters
+
+    def at(self, due: float, act: Callable[[], None]) -> None: ...
+
+
+class Server:
+    """A server transaction. Its user answers it by `Transactions.respond` and may hang itself on `user`."""
+
+    __slots__ = ("echo", "flow", "head", "invite", "key", "last", "place", "size", "source", "state", "user")
+
+    def __init__(self, key: bytes, head: Head, flow: Flow) -> None:
+        self.key, self.flow, self.source = key, flow, flow.peer[0]
+        self.head: Head | None = head  # until its final answer
+        self.echo = head.echo
+        self.invite = head.method == "INVITE"
+        self.state = State.PROCEEDING if self.invite else State.TRYING
+        self.place = head.place(flow.peer, flow.reliable)
+        self.last = b""
+        self.size = LIVE_BYTES + len(head.message.body)
+        self.user: object = None
+
+    @property
+    def open(self) -> bool:
+        """Whether its final answer is still to come."""
+        return self.state in (State.TRYING, State.PROCEEDING)
+
+
+class User(Protocol):
+    """Whoever began a client transaction."""
+
+    def provisional(self, status: int, message: sip.Message) -> None: ...
+    def final(self, status: int, message: sip.Message | None) -> None: ...  # None: no answer came in time
+    def unreachable(self) -> None: ...  # its flow died before an answer
+
+
+class Client:
+    """A client transaction."""
+
+    __slots__ = ("ack", "branch", "data", "flow", "method", "state", "user")
+
+    def __init__(self, branch: str, method: str, data: bytes, flow: Flow, user: User) -> None:
+        self.branch, self.method, self.data, self.flow, self.user = branch, method, data, flow, user
+        self.state = State.CALLING if method == "INVITE" else State.TRYING
+        self.ack = b""  # what answers each copy of the final answer to an INVITE
+
+    @property
+    def waits(self) -> bool:
+        """Whether its final answer is still to come."""
+        return self.state in (State.CALLING, State.TRYING, State.PROCEEDING)
+
+
+class Memory:
+    """What is over but must be recognised, in bundles by the time when it may be forgotten."""
+
+    def __init__(self) -> None:
+        self.records: dict[bytes, bytes] = {}  # key -> the answer to a copy; empty: none is sent
+        self.bundles: dict[int, list[bytes]] = {}
+        self.bytes = 0
+
+    def keep(self, key: bytes, answer: bytes, until: float) -> None:
+        """Remember one until at least then."""
+        if key in self.records:
+            self.bytes -= RECORD_BYTES + len(self.records[key])
+        self.records[key] = answer
+        self.bytes += RECORD_BYTES + len(answer)
+        self.bundles.setdefault(int(until / SPAN_S) + 1, []).append(key)
+
+    def sweep(self, now: float) -> None:
+        """Forget what is past its time."""
+        for bundle in [each for each in self.bundles if each * SPAN_S <= now]:
+            self._drop(bundle)
+
+    def shed(self) -> int:
+        """Forget the bundle that would go first, to make room; returns how many records went."""
+        return self._drop(min(self.bundles)) if self.bundles else 0
+
+    def _drop(self, bundle: int) -> int:
+        keys = self.bundles.pop(bundle)
+        for key in keys:
+            answer = self.records.pop(key, None)
+            if answer is not None:
+                self.bytes -= RECORD_BYTES + len(answer)
+        return len(keys)
+
+
+class Transactions:
+    """The table of all transactions of one user agent."""
+
+    def __init__(self, clockwork: Clockwork, most_bytes: int) -> None:
+        self.clockwork, self.most_bytes = clockwork, most_bytes
+        self.servers: dict[bytes, Server] = {}
+        self.clients: dict[tuple[str, str], Client] = {}
+        self.merged: dict[bytes, bytes] = {}  # live: by what merged copies share -> key
+        self.memory = Memory()
+        self.live_bytes = 0
+        self.by_source: dict[str, int] = {}  # bytes of open transactions
+        self.reroute: Callable[[Server], Flow] = lambda transaction: transaction.flow  # where a flow died
+        self._sweeping = False
+
+    # ---- server ----
+
+    def known(self, head: Head, flow: Flow) -> bool:
+        """Whether a request is a copy; then it is dealt with here. An ACK is one where its INVITE was
+        answered with 300 or above.
+        """
+        key = head.key
+        transaction = self.servers.get(key)
+        if head.method == "ACK":
+            if transaction is None:
+                return key in self.memory.records and head.to_tag == ""
+            if transaction.state is State.COMPLETED:
+                self._confirm(transaction)
+            return True
+        if transaction is not None:
+            self._copy(transaction, flow)
+            return True
+        answer = self.memory.records.get(key)
+        if answer is None:
+            return False
+        self._count("retransmissions")
+        if answer:
+            back = flow
+            if isinstance(flow, UdpFlow):
+                back = UdpFlow(flow.port, head.place(flow.peer, False))
+            back.send(answer)
+        return True
+
+    def is_merged(self, transaction: Server, head: Head) -> bool:
+        """Whether the same request is here by another way (8.2.2.2)."""
+        first = self.merged.get(head.merged)
+        return first != transaction.key if first is not None else head.merged in self.memory.records
+
+    def room(self, source: str) -> bool:
+        """Whether a new transaction may be opened for a source. What is only remembered gives way first;
+        once half is taken by what is open, one source may not have more than its share of it.
+        """
+        if self.live_bytes >= self.most_bytes:
+            return False
+        if self.live_bytes * 2 > self.most_bytes:
+            return self.by_source.get(source, 0) < SOURCE_SHARE * self.most_bytes
+        return True
+
+    def open(self, head: Head, flow: Flow) -> Server:
+        """A new request: its transaction."""
+        transaction = self.servers[head.key] = Server(head.key, head, flow)
+        if transaction.invite and not head.to_tag:
+            self.merged.setdefault(head.merged, transaction.key)
+        self.live_bytes += transaction.size
+        self.by_source[transaction.source] = self.by_source.get(transaction.source, 0) + transaction.size
+        while self.live_bytes + self.memory.bytes > self.most_bytes and self.memory.bundles:
+            self._count("forgotten_early", self.memory.shed())
+        if isinstance(flow, SipConnection):
+            flow.owed.add(transaction.key)
+        return transaction
+
+    def find(self, key: bytes) -> Server | None:
+        """The open transaction of a key."""
+        return self.servers.get(key)
+
+    def respond(
+        self, transaction: Server, status: int, tag: str, extra: str = "", body: bytes = b""
+    ) -> bytes:
+        """Answer. A second final answer, or a provisional one behind it, is not sent; returns the bytes."""
+        if not transaction.open:
+            return b""
+        data = transaction.last = render(status, transaction.echo, tag, extra, body)
+        if status >= 200:
+            self._answered(transaction, status)
+        elif not transaction.invite:
+            transaction.state = State.PROCEEDING
+        self._send(transaction, data)
+        return data
+
+    def _answered(self, transaction: Server, status: int) -> None:
+        """The final answer is on its way: only what copies need stays."""
+        now, flow = self.clockwork.clock(), transaction.flow
+        head, transaction.head, transaction.user = transaction.head, None, None
+        if isinstance(flow, SipConnection):
+            flow.owed.discard(transaction.key)
+        if transaction.invite and status >= 300:
+            transaction.state = State.COMPLETED  # until the ACK
+            self.clockwork.at(now + T1, partial(self._unacked, transaction.key, T1, T1))
+        else:
+            transaction.state = State.ACCEPTED if transaction.invite else State.TERMINATED
+            self._close(transaction)
+            if transaction.invite:  # timer L; its user sends the 2xx again (RFC 6026, 7.1)
+                self._remember(transaction.key, b"", LAST)
+            elif not flow.reliable:  # timer J
+                self._remember(transaction.key, transaction.last, LAST)
+        if head is not None and self.merged.get(head.merged) == transaction.key:
+            del self.merged[head.merged]
+            self._remember(head.merged, b"", LAST)
+
+    def _confirm(self, transaction: Server) -> None:
+        """The ACK to a refusal has come (timer I)."""
+        transaction.state = State.CONFIRMED
+        self._close(transaction)
+        if not transaction.flow.reliable:
+            self._remember(transaction.key, b"", T4)
+
+    def _unacked(self, key: bytes, gap: float, passed: float) -> None:
+        """Timers G and H of a refusal."""
+        transaction = self.servers.get(key)
+        if transaction is None or transaction.state is not State.COMPLETED:
+            return
+        if passed >= LAST:
+            self._count("refusals_never_acked")
+            transaction.state = State.TERMINATED
+            self._close(transaction)
+            return
+        if not transaction.flow.reliable:
+            transaction.flow.send(transaction.last)
+            self._count("resent")
+        gap = min(2 * gap, T2, LAST - passed)
+        self.clockwork.at(self.clockwork.clock() + gap, partial(self._unacked, key, gap, passed + gap))
+
+    def _copy(self, transaction: Server, flow: Flow) -> None:
+        """A request sent again: the same transaction, the same answer."""
+        self._count("retransmissions")
+        if flow.reliable or not transaction.flow.alive:
+            if isinstance(transaction.flow, SipConnection) and transaction.key in transaction.flow.owed:
+                transaction.flow.owed.discard(transaction.key)
+                if isinstance(flow, SipConnection):
+                    flow.owed.add(transaction.key)
+            transaction.flow = flow
+        if transaction.last:
+            self._send(transaction, transaction.last)
+
+    def _send(self, transaction: Server, data: bytes) -> None:
+        flow = transaction.flow
+        if not flow.alive:
+            flow = transaction.flow = self.reroute(transaction)
+        elif isinstance(flow, UdpFlow) and flow.peer != transaction.place:
+            flow = transaction.flow = UdpFlow(flow.port, transaction.place)
+        flow.send(data)
+
+    def forget(self, transaction: Server) -> None:
+        """Drop one unanswered: its request must leave no trace."""
+        if transaction.head is not None and self.merged.get(transaction.head.merged) == transaction.key:
+            del self.merged[transaction.head.merged]
+        if isinstance(transaction.flow, SipConnection):
+            transaction.flow.owed.discard(transaction.key)
+        transaction.state = State.TERMINATED
+        self._close(transaction)
+
+    def _close(self, transaction: Server) -> None:
+        if self.servers.pop(transaction.key, None) is None:
+            return
+        self.live_bytes -= transaction.size
+        left = self.by_source.get(transaction.source, 0) - transaction.size
+        if left > 0:
+            self.by_source[transaction.source] = left
+        else:
+            self.by_source.pop(transaction.source, None)
+
+    def _remember(self, key: bytes, answer: bytes, for_s: float) -> None:
+        self.memory.keep(key, answer, self.clockwork.clock() + for_s)
+        if not self._sweeping:
+            self._sweeping = True
+            self.clockwork.at(self.clockwork.clock() + SPAN_S, self._sweep)
+
+    def _sweep(self) -> None:
+        self.memory.sweep(self.clockwork.clock())
+        self._sweeping = bool(self.memory.records)
+        if self._sweeping:
+            self.clockwork.at(self.clockwork.clock() + SPAN_S, self._sweep)
+
+    # ---- client ----
+
+    def begin(self, branch: str, method: str, data: bytes, flow: Flow, user: User) -> Client:
+        """Send a request of ours (17.1.1.2, 17.1.2.2)."""
+        client = self.clients[(branch, method)] = Client(branch, method, data, flow, user)
+        self.clockwork.counters.add(f"sent_{method}")
+        flow.send(data)
+        self.clockwork.at(self.clockwork.clock() + T1, partial(self._unheard, client.branch, method, T1, T1))
+        return client
+
+    def _unheard(self, branch: str, method: str, gap: float, passed: float) -> None:
+        """Timers A, B, E and F."""
+        client = self.clients.get((branch, method))
+        if client is None or not client.waits:
+            return
+        if passed >= LAST and not (method == "INVITE" and client.state is State.PROCEEDING):
+            client.state = State.TERMINATED
+            del self.clients[(branch, method)]
+            self._count("requests_unanswered")
+            client.user.final(408, None)
+            return
+        again = not client.flow.reliable and client.state is not State.PROCEEDING
+        if again or (client.state is State.PROCEEDING and method != "INVITE" and not client.flow.reliable):
+            client.flow.send(client.data)
+            self._count("resent")
+        slow = T2 if method != "INVITE" else LAST  # timer A doubles without bound, timer E up to T2
+        gap = T2 if client.state is State.PROCEEDING else min(2 * gap, slow)
+        gap = min(gap, LAST - passed) if passed < LAST else LAST
+        due = self.clockwork.clock() + gap
+        self.clockwork.at(due, partial(self._unheard, branch, method, gap, passed + gap))
+
+    def response(self, message: sip.Message) -> bool:
+        """A response; whether it belongs to a request of ours. Copies of a final one end here."""
+        vias = message.all("via")
+        method = message.cseq()[1]
+        client = self.clients.get((sip.parameters(vias[0]).get("branch", "") if vias else "", method))
+        if client is None or len(vias) != 1:  # one with another Via below was not for us (8.1.3.3)
+            return False
+        if client.waits:
+            if message.status < 200:
+                client.state = State.PROCEEDING
+                client.user.provisional(message.status, message)
+                return True
+            self._heard(client, message)
+        elif client.ack and message.status >= 200:
+            client.flow.send(client.ack)  # a copy: the ACK was lost
+        return True
+
+    def _heard(self, client: Client, message: sip.Message) -> None:
+        accepted = message.status < 300
+        client.state = State.ACCEPTED if accepted else State.COMPLETED
+        keep = LAST if client.method == "INVITE" else T4  # timers D and M, and K
+        if client.flow.reliable and not (client.method == "INVITE" and accepted):
+            keep = 0.0
+        if client.method == "INVITE" and not accepted:
+            client.ack = self.ack_to_refusal(client, message)
+            client.flow.send(client.ack)
+        if keep:
+            over = partial(self._client_over, client.branch, client.method)
+            self.clockwork.at(self.clockwork.clock() + keep, over)
+        else:
+            del self.clients[(client.branch, client.method)]
+        client.data = b""
+        client.user.final(message.status, message)
+
+    def _client_over(self, branch: str, method: str) -> None:
+        self.clients.pop((branch, method), None)
+
+    @staticmethod
+    def ack_to_refusal(client: Client, answer: sip.Message) -> bytes:
+        """The ACK that belongs to the same transaction (17.1.1.3)."""
+        sent = sip.parse_datagram(client.data)
+        headers = [("via", sent.all("via")[0]), ("max-forwards", "70")]
+        headers += [(name, value) for name, value in sent.headers if name == "route"]
+        headers += [("from", sent.get("from")), ("to", answer.get("to")), ("call-id", sent.get("call-id"))]
+        headers.append(("cseq", f"{sent.cseq()[0]} ACK"))
+        return sip.request("ACK", sent.uri, headers)
+
+    def flow_lost(self, flow: Flow) -> None:
+        """A connection has ended: what waited on it for an answer is begun anew by its user, elsewhere."""
+        for client in [each for each in self.clients.values() if each.flow is flow and each.waits]:
+            client.state = State.TERMINATED
+            self.clients.pop((client.branch, client.method), None)
+            self._count("requests_rerouted")
+            client.user.unreachable()
+
+    def _count(self, name: str, by: int = 1) -> None:
+        if by:
+            self.clockwork.counters.add(name, by)
