--- a/stairhatch/choice.py
+++ b/stairhatch/choice.py
@@ -720,9 +720,7 @@
 
     def is_cold(self, now: float, server: Server) -> bool:
         """Whether the server started so lately that it may not be warm, or may start again at any moment."""
-        return server.unreached or (
-            server.born is not None and now - server.born < self.safety.warm_after_s
-        )
+        return server.unreached or (server.born is not None and now - server.born < self.safety.warm_after_s)
 
     def start_turns(self, now: float, server: Server) -> None:
         """The first turn comes at random within a gap, so that the nodes' turns lie spread."""
--- a/stairhatch/cli.py
+++ b/stairhatch/cli.py
@@ -66,6 +66,76 @@
     click.echo(f"  may call  {users}")
 
 
+@main_group.command()
+@click.option("--udp", default="127.0.0.1:5060", show_default=True, help='where it listens; "" for nowhere')
+@click.option("--tcp", default="127.0.0.1:5060", show_default=True, help='where it listens; "" for nowhere')
+@click.option("--rate", default=3.0, show_default=True, help="calls a second from stand-in callers")
+@click.option("--seconds", default=0.0, help="end by itself after so long")
+@click.option("--users", "auth", default="", help="a file of users: only those may call (realm stairhatch)")
+@click.option("--quiet", is_flag=True, help="place no calls: something else will, such as `conform`")
+def demo(udp: str, tcp: str, rate: float, seconds: float, auth: str, quiet: bool) -> None:
+    """Run the appliance with two embedded stand-in roster servers and a few calls a second, and tell."""
+    import uvloop
+
+    from stairhatch.demo.run import Demo, demonstrate
+
+    told = Demo(udp, tcp, 0.0 if quiet else rate, seconds, os.path.abspath(auth) if auth else "")
+    try:
+        sys.exit(uvloop.run(demonstrate(told, click.echo)))
+    except ConfigError as error:
+        click.echo(f"stairhatch: {error}", err=True)
+        sys.exit(2)
+
+
+def _place(text: str, option: str) -> tuple[str, int] | None:
+    from stairhatch.node.directory import DirectoryError, parse_address
+
+    try:
+        return parse_address(text) if text else None
+    except DirectoryError as error:
+        raise click.BadParameter(str(error), param_hint=option) from None
+
+
+@main_group.command()
+@click.option("--udp", default="", help="host:port of a program to ask over UDP")
+@click.option("--tcp", default="", help="host:port of a program to ask over TCP")
+@click.option("--only", default="", help="cases whose name begins so, or whose section does")
+@click.option("--slow", is_flag=True, help="over sockets, also the cases that wait for long")
+@click.option("--users", is_flag=True, help="the program asks for users: play the cases about that")
+@click.option("--faults", is_flag=True, help="plant each known fault and show which case finds it")
+@click.option("--junit", type=click.Path(path_type=Path), help="write the results as JUnit XML")
+def conform(udp: str, tcp: str, only: str, slow: bool, users: bool, faults: bool, junit: Path | None) -> None:
+    """Play the conformance suite, in process or against a program on this machine."""
+    from stairhatch.conform import report, suite
+    from stairhatch.conform.cases import CaseError, read_cases
+
+    try:
+        cases = [c for c in read_cases() if c.name.startswith(only) or c.section.startswith(only)]
+        if faults:
+            found = {fault: suite.finder(cases, fault) for fault in suite.FAULTS}
+            for fault, case in found.items():
+                click.echo(f"{fault:56} {case or 'NOT FOUND'}")
+            click.echo(f"{sum(map(bool, found.values()))} of {len(found)} planted faults found")
+            sys.exit(0 if all(found.values()) else 1)
+        if udp or tcp:
+            places = _place(udp, "--udp"), _place(tcp, "--tcp")
+            results = suite.run_outside(cases, *places, slow=slow, has_auth=users)
+        else:
+            results = suite.run_inside(cases)
+    except (CaseError, ValueError) as error:
+        click.echo(f"stairhatch: {error}", err=True)
+        sys.exit(2)
+    click.echo(report.failures(results), nl=False)
+    click.echo(report.table(results))
+    failed, skipped = (
+        sum(bool(x) for x in each) for each in zip(*((r.why, r.skipped) for r in results), strict=True)
+    )
+    click.echo(f"{len(results) - failed - skipped} passed, {failed} failed, {skipped} skipped")
+    if junit is not None:
+        junit.write_text(report.junit(results), encoding="utf-8")
+    sys.exit(1 if failed else 0)
+
+
 @main_group.group()
 def users() -> None:
     """Who may call: a file of hashes, named by `sip.auth.users`."""
--- /dev/null
+++ b/stairhatch/conform/suite.py
@@ -0,0 +1,77 @@
+"""The whole suite: owns which cases are played on which stage, with what configuration, and the search for
+planted faults. It must never send anything beyond this machine.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+from stairhatch.conform.cases import FOLDER, Case, read_cases
+from stairhatch.conform.faults import FAULTS, planted
+from stairhatch.conform.run import PASSWORD, REALM, USER, Result, play
+from stairhatch.conform.stage import Inside, Outside, Place
+from stairhatch.sip import auth
+from stairhatch.sip.front import AuthConfig
+
+__all__ = ["FAULTS", "find_all", "finder", "run_inside", "run_outside"]
+ALGORITHMS = ("SHA-512-256", "SHA-256")
+
+
+def inside_for(case: Case) -> Inside:
+    """The stage in process with the configuration that a case needs."""
+    if "auth" not in case.needs:
+        return Inside()
+    lines = auth.user_lines(USER, REALM, PASSWORD, ALGORITHMS)
+    users = auth.read_users("\n".join(lines), REALM, ALGORITHMS)
+    return Inside(auth=AuthConfig(REALM, users, ALGORITHMS, 300.0))
+
+
+def run_inside(cases: Iterable[Case]) -> list[Result]:
+    """Play cases in process."""
+    return [play(case, inside_for(case)) for case in cases]
+
+
+def run_outside(
+    cases: Iterable[Case],
+    udp: Place | None,
+    tcp: Place | None,
+    slow: bool = False,
+    has_auth: bool = False,
+    told: Callable[[Result], None] = lambda result: None,
+) -> list[Result]:
+    """Play cases against a program that listens at these addresses; what it can't show is skipped. Where it
+    asks for users, only the cases about that are played.
+    """
+    results = []
+    for case in cases:
+        why = ""
+        if {"udp": udp, "tcp": tcp}[case.transport] is None:
+            why = f"no {case.transport} address was given"
+        elif case.virtual and not slow:
+            why = "its waits are long: --slow"
+        elif ("auth" in case.needs) is not has_auth:
+            why = (
+                "it needs a program that asks for users"
+                if not has_auth
+                else "it needs one that asks for none"
+            )
+        result = Result(case, skipped=why) if why else play(case, Outside(udp, tcp))
+        told(result)
+        results.append(result)
+    return results
+
+
+def finder(cases: list[Case], fault: str) -> str:
+    """The name of the first case that finds a planted fault, "" if none does."""
+    with planted(fault):
+        for case in cases:
+            if play(case, inside_for(case)).why:
+                return case.name
+    return ""
+
+
+def find_all(folder: Path = FOLDER) -> dict[str, str]:
+    """Each planted fault with the case that finds it."""
+    cases = read_cases(folder)
+    return {fault: finder(cases, fault) for fault in FAULTS}
--- a/stairhatch/node/console.py
+++ b/stairhatch/node/console.py
@@ -111,9 +111,7 @@
 class Console:
     """One terminal."""
 
-    def __init__(
-        self, core: Core, end: Callable[[], None], service: Callable[[], str] = lambda: ""
-    ) -> None:
+    def __init__(self, core: Core, end: Callable[[], None], service: Callable[[], str] = lambda: "") -> None:
         self.core, self.end, self.service = core, end, service
         self.started = core.clock()
         self._data = b""
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -689,9 +689,7 @@
         if server is None:
             self.log("guard", call=call.offer.ident, why="unknown server")
             self.counters.add("guards")
-            self._events.append(
-                say.SetupEnded(call.number, action.server, Ending.NOT_SENT, False, Report())
-            )
+            self._events.append(say.SetupEnded(call.number, action.server, Ending.NOT_SENT, False, Report()))
             return
         call.attempts += 1
         due = call.deadline
--- a/stairhatch/sip/front.py
+++ b/stairhatch/sip/front.py
@@ -28,7 +28,7 @@
     is_address,
     is_v6,
 )
-from stairhatch.sip.heads import SIP_PORT, Head, digest, echo, lines, render
+from stairhatch.sip.heads import SIP_PORT, Head, echo, lines, render
 from stairhatch.sip.leg import ACCEPT, ALLOW, SUPPORTED, Leg, Ours
 from stairhatch.sip.sessions import Exchange, Offered, Prack, Refusal, TimerPolicy
 from stairhatch.sip.transactions import Server, Transactions
@@ -298,7 +298,8 @@
 
     def _invite(self, transaction: Server, head: Head, user: str) -> None:
         message, uri = head.message, grammar.read_uri(head.message.uri)
-        if self.transactions.is_merged(transaction, head):
+        ident = head.ident
+        if ident in self.core.by_ident:  # it is here already, by another way
             self.final(transaction, 482, [])
             return
         kind, choice = self.read_class(uri, message.get("call-kind"))
@@ -322,7 +323,6 @@
         except ValueError:
             self.final(transaction, 400, [])
             return
-        ident = digest(head.call_id, head.from_tag, str(head.cseq)).hex()[:16]
         if roster.too_long(ident, kind.name, uri.user, description):
             self.final(transaction, 413, [])
             return
--- a/stairhatch/sip/heads.py
+++ b/stairhatch/sip/heads.py
@@ -82,9 +82,11 @@
         return digest(self.call_id, self.from_tag, str(self.cseq), top, method)
 
     @property
-    def merged(self) -> bytes:
-        """What it has in common with itself by another way (8.2.2.2)."""
-        return digest("merged", self.call_id, self.from_tag, str(self.cseq), self.method)
+    def ident(self) -> str:
+        """What names the call that it would set up, at the roster servers too. The same request by another
+        way has the same (8.2.2.2).
+        """
+        return digest(self.call_id, self.from_tag, str(self.cseq)).hex()[:16]
 
     def place(self, peer: tuple[str, int], reliable: bool) -> tuple[str, int]:
         """Where an answer goes that can't go back on its flow, or goes by UDP (18.2.2; RFC 3581)."""
--- a/stairhatch/sip/transactions.py
+++ b/stairhatch/sip/transactions.py
@@ -134,7 +134,6 @@
         self.clockwork, self.most_bytes = clockwork, most_bytes
         self.servers: dict[bytes, Server] = {}
         self.clients: dict[tuple[str, str], Client] = {}
-        self.merged: dict[bytes, bytes] = {}  # live: by what merged copies share -> key
         self.memory = Memory()
         self.live_bytes = 0
         self.by_source: dict[str, int] = {}  # bytes of open transactions
@@ -169,11 +168,6 @@
             back.send(answer)
         return True
 
-    def is_merged(self, transaction: Server, head: Head) -> bool:
-        """Whether the same request is here by another way (8.2.2.2)."""
-        first = self.merged.get(head.merged)
-        return first != transaction.key if first is not None else head.merged in self.memory.records
-
     def room(self, source: str) -> bool:
         """Whether a new transaction may be opened for a source. What is only remembered gives way first;
         once half is taken by what is open, one source may not have more than its share of it.
@@ -187,8 +181,6 @@
     def open(self, head: Head, flow: Flow) -> Server:
         """A new request: its transaction."""
         transaction = self.servers[head.key] = Server(head.key, head, flow)
-        if transaction.invite and not head.to_tag:
-            self.merged.setdefault(head.merged, transaction.key)
         self.live_bytes += transaction.size
         self.by_source[transaction.source] = self.by_source.get(transaction.source, 0) + transaction.size
         while self.live_bytes + self.memory.bytes > self.most_bytes and self.memory.bundles:
@@ -218,7 +210,7 @@
     def _answered(self, transaction: Server, status: int) -> None:
         """The final answer is on its way: only what copies need stays."""
         now, flow = self.clockwork.clock(), transaction.flow
-        head, transaction.head, transaction.user = transaction.head, None, None
+        transaction.head, transaction.user = None, None
         if isinstance(flow, SipConnection):
             flow.owed.discard(transaction.key)
         if transaction.invite and status >= 300:
@@ -231,9 +223,6 @@
                 self._remember(transaction.key, b"", LAST)
             elif not flow.reliable:  # timer J
                 self._remember(transaction.key, transaction.last, LAST)
-        if head is not None and self.merged.get(head.merged) == transaction.key:
-            del self.merged[head.merged]
-            self._remember(head.merged, b"", LAST)
 
     def _confirm(self, transaction: Server) -> None:
         """The ACK to a refusal has come (timer I)."""
@@ -280,8 +269,6 @@
 
     def forget(self, transaction: Server) -> None:
         """Drop one unanswered: its request must leave no trace."""
-        if transaction.head is not None and self.merged.get(transaction.head.merged) == transaction.key:
-            del self.merged[transaction.head.merged]
         if isinstance(transaction.flow, SipConnection):
             transaction.flow.owed.discard(transaction.key)
         transaction.state = State.TERMINATED
