--- a/stairhatch/sip/leg.py
+++ b/stairhatch/sip/leg.py
@@ -361,7 +361,7 @@
             self.cseq = dialog.local_cseq
         branch = MAGIC + front.token()
         size = 400 + len(self.body) + sum(map(len, dialog.routes)) + len(dialog.remote) + len(dialog.local)
-        flow = front.way_to(dialog.next_hop(), leg.flow, size, by_tcp=self.tries == 0)
+        flow = front.way_to(dialog.next_hop(), leg.flow, size, by_tcp=self.tries < MOST_REROUTES - 1)
         extra = list(self.extra)
         if self.method != "BYE":
             extra.append(("contact", f"<{front.contact(flow)}>"))
