Let the demonstration's calls mostly stand

Cause: of nine numbers one found all lines taken, which the decisions rightly answer with a pause of the server, so that half of the demonstration's calls were refused. Change: that number is left out, and the one that errs is rare.

--- a/stairhatch/demo/run.py
+++ b/stairhatch/demo/run.py
@@ -20,7 +20,7 @@
 from stairhatch.standin.caller import Caller, End, Placed
 from stairhatch.standin.roster import StandIn
 
-NUMBERS = ("1000", "1000", "1000", "1100", "7000", "1400", "1500", "1300", "1700")
+NUMBERS = ("1000",) * 8 + ("1100",) * 4 + ("7000",) * 4 + ("1400",) * 2 + ("1500",) * 2 + ("1700",)
 FILE = """\
 name = "demo"
 [sip]
