Admit, shed and tell callers what the appliance itself can take

Need: nothing protected the softswitch itself; past its core all callers suffered alike, and copies of INVITEs that waited fed the queue (RFC 5390, 6357). On in the appliance, sip.admission.on = false turns it off; the platform has none of it.

--- a/benchmarks/sip_calls.py
+++ b/benchmarks/sip_calls.py
@@ -141,6 +141,8 @@
     new = (tree / "stairhatch" / "sip").is_dir()
     path = folder / "sip.toml"
     more = "restart_wait_s = 0\ndialogs = 60000" if new else ""
+    if (tree / "stairhatch" / "admission").is_dir() and told.gate != "as-is":
+        more += f"\nadmission = {{ on = {'true' if told.gate == 'on' else 'false'} }}"
     path.write_text(FILE.format(at=f"127.0.0.1:{port}", servers=servers, more=more))
     with log.open("wb") as out:
         program = subprocess.Popen(
@@ -173,7 +175,9 @@
     placed = sum(one["placed"] for one in found)
     result = {
         "tree": tree.name, "transport": "tcp" if tcp else "udp", "placed": placed,
-        "stood": len(times) / placed, "ms_a_call": 1000 * used / max(1, len(times)),
+        "gate": told.gate, "stood": len(times) / placed,
+        "in_time_a_second": sum(each <= 1.5 for each in times) / told.seconds,
+        "ms_a_call": 1000 * used / max(1, len(times)),
         "p50_ms": 1000 * statistics.median(times), "p99_ms": 1000 * times[int(0.99 * len(times))],
         "copies": sum(one["copies"] for one in found), "start_mb": start_mb,
         "standing_mb": standing_mb, "after_mb": memory_mb(program.pid),
@@ -196,6 +200,7 @@
     parser.add_argument("--hold", type=float, default=1.0)
     parser.add_argument("--workers", type=int, default=4)
     parser.add_argument("--repeats", type=int, default=2)
+    parser.add_argument("--gate", choices=("on", "off", "as-is"), default="as-is", help="sip.admission.on")
     parser.add_argument("--tcp", action="store_true")
     parser.add_argument("--rosters", type=int, help=argparse.SUPPRESS)
     parser.add_argument("--place", type=int, help=argparse.SUPPRESS)
--- a/stairhatch/config/appliance.py
+++ b/stairhatch/config/appliance.py
@@ -17,6 +17,9 @@
 import msgspec
 from msgspec import Meta, Struct, inspect
 
+from stairhatch.admission.buckets import BucketPolicy
+from stairhatch.admission.budget import BudgetPolicy
+from stairhatch.admission.gate import GatePolicy
 from stairhatch.config import Config, ConfigError, checked_settings, read_file
 from stairhatch.interface import Settings
 from stairhatch.node.directory import DirectoryError, parse_address
@@ -71,6 +74,23 @@
     min_se_s: Annotated[int, Meta(ge=LEAST_SE_S, le=MOST_SE_S)] = LEAST_SE_S
 
 
+class AdmissionTable(_Table, frozen=True):
+    """What the appliance itself can take."""
+
+    on: bool = True
+    onset_ms: Annotated[float, Meta(gt=0, le=1000)] = 50.0
+    abatement_ms: Annotated[float, Meta(gt=0, le=1000)] = 10.0
+    target_ms: Annotated[float, Meta(gt=0, le=1000)] = 20.0
+    full_ms: Annotated[float, Meta(gt=0, le=5000)] = 400.0
+    source_rate: Annotated[float, Meta(gt=0)] = 50.0
+    source_burst: Annotated[float, Meta(ge=1)] = 100.0
+    network_rate: Annotated[float, Meta(gt=0)] = 200.0
+    network_burst: Annotated[float, Meta(ge=1)] = 400.0
+    network_v4: Annotated[int, Meta(ge=8, le=32)] = 24
+    network_v6: Annotated[int, Meta(ge=16, le=128)] = 64
+    return_s: tuple[Annotated[int, Meta(ge=1, le=60)], Annotated[int, Meta(ge=1, le=60)]] = (1, 4)
+
+
 class SipTable(_Table, frozen=True):
     """The front."""
 
@@ -86,6 +106,7 @@
     numbers: list[NumberTable] = []
     timers: TimerTable = TimerTable()
     auth: AuthTable | None = None
+    admission: AdmissionTable = AdmissionTable()
 
 
 class ServerTable(_Table, frozen=True):
@@ -298,6 +319,33 @@
         restart_wait_s=table.restart_wait_s,
         timers=TimerPolicy(table.timers.session_expires_s, table.timers.min_se_s),
         auth=_auth(table.auth, folder),
+        gate=_gate(table.admission),
+    )
+
+
+def _gate(table: AdmissionTable) -> GatePolicy | None:
+    if not table.on:
+        return None
+    if not table.abatement_ms < table.onset_ms < table.full_ms:
+        raise ConfigError("sip.admission: abatement_ms must lie under onset_ms, and that under full_ms")
+    if table.return_s[0] > table.return_s[1]:
+        raise ConfigError("sip.admission.return_s: the first must not be above the second")
+    return GatePolicy(
+        BudgetPolicy(
+            onset_s=table.onset_ms / 1000,
+            abatement_s=table.abatement_ms / 1000,
+            target_s=table.target_ms / 1000,
+            full_s=table.full_ms / 1000,
+        ),
+        BucketPolicy(
+            source_rate=table.source_rate,
+            source_burst=table.source_burst,
+            network_rate=table.network_rate,
+            network_burst=table.network_burst,
+            network_v4=table.network_v4,
+            network_v6=table.network_v6,
+        ),
+        return_s=table.return_s,
     )
 
 
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -10,6 +10,8 @@
 import contextlib
 import math
 import socket
+import struct
+import time
 from collections import OrderedDict, deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -31,6 +33,9 @@
 DRAIN_SWEEP_S = 0.02  # how often a drain looks for idle connections
 QUIET_S = 0.02  # so long after its last bytes one is idle: the ACK to its answer has come
 FRESH_S = 0.5  # a new connection is given so long to ask, in a drain too
+LOOK_S = 0.05  # how often the loop's delay is looked at
+SO_TIMESTAMPNS, NOTES_BYTES, STAMP = 35, 64, struct.Struct("@qq")  # Linux; elsewhere nothing is noted
+MOST_WAIT_S = 5.0  # a clock that was set makes no wait longer
 LINGER_S, LINGER_BYTES = 0.2, 256 * 1024  # what still comes is read after the last answer, so that it arrives
 
 
@@ -221,6 +226,7 @@
         self.listeners: list[Listening] = []  # of callers
         self.emptying: asyncio.Task[None] | None = None
         core.on_drain = self.empty
+        self.looked: Callable[[float], None] | None = None  # who watches the load
         self._timer: asyncio.TimerHandle | None = None
         core.wake = self._arm
         self._arm()
@@ -413,6 +419,8 @@
             sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
         sock.bind(address)
         buffer = self.pool.take()
+        with contextlib.suppress(OSError):  # the kernel notes when each came: how long it has waited is known
+            sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
         self.loop.add_reader(sock, self._read_datagrams, sock, buffer, port)
 
         def send() -> None:
@@ -435,15 +443,37 @@
         return sock
 
     def _read_datagrams(self, sock: socket.socket, buffer: bytearray, port: Datagrams) -> None:
-        for _ in range(64):  # then others have their turn
+        for turn in range(64):  # then others have their turn
             try:
-                size, peer = sock.recvfrom_into(buffer)
+                if turn or self.looked is None:
+                    size, peer = sock.recvfrom_into(buffer)
+                else:  # the first has waited longest
+                    size, notes, _, peer = sock.recvmsg_into([buffer], NOTES_BYTES)
+                    self._waited(notes)
             except BlockingIOError:
                 return
             except OSError:
                 continue  # an earlier datagram came back as unreachable
             port.receive(bytes(memoryview(buffer)[:size]), (peer[0], peer[1]))
 
+    def _waited(self, notes: list[tuple[int, int, bytes]]) -> None:
+        """How long a datagram lay in the socket, told to whoever watches the load."""
+        for level, kind, data in notes:
+            if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(data) >= 16 and self.looked:
+                seconds, nanos = STAMP.unpack_from(data)
+                self.looked(min(MOST_WAIT_S, max(0.0, time.time() - seconds - nanos * 1e-9)))
+
+    def watch(self, looked: Callable[[float], None]) -> None:
+        """Tell every 50 ms how much later than asked the loop came to it, and how long datagrams waited."""
+        self.looked = looked
+        self.spawn(self._watch(looked))
+
+    async def _watch(self, looked: Callable[[float], None]) -> None:
+        while True:
+            due = self.loop.time() + LOOK_S
+            await asyncio.sleep(LOOK_S)
+            looked(max(0.0, self.loop.time() - due))
+
     # ---- what the softswitch keeps connections to ----
 
     def dial(self, link: RosterLink) -> None:
--- a/stairhatch/service.py
+++ b/stairhatch/service.py
@@ -149,6 +149,8 @@
         front = self.front = SipFront(
             self.core, config, lambda: secrets.token_hex(8), chance.random, secrets.token_bytes(32)
         )
+        if front.gate is not None:
+            network.watch(front.looked)
         front.dial = lambda connection: network.dial_caller(connection, connection.peer)
         told = []
         for port in front.ports:
--- a/stairhatch/sip/flows.py
+++ b/stairhatch/sip/flows.py
@@ -65,6 +65,7 @@
     counters: Counters
 
     def receive(self, flow: Flow, message: sip.Message) -> None: ...
+    def settle(self, flow: UdpFlow, data: bytes) -> bool: ...
     def malformed(self, flow: Flow, error: sip.SipError) -> None: ...
     def flow_lost(self, flow: Flow) -> None: ...
 
@@ -108,6 +109,8 @@
         if not data.strip(b"\r\n\0 "):
             return  # a keep-alive
         flow = UdpFlow(self, (peer[0], peer[1]))
+        if self.owner.settle(flow, data):
+            return
         try:
             message = sip.parse_datagram(data)
         except sip.SipError as error:
--- a/stairhatch/sip/front.py
+++ b/stairhatch/sip/front.py
@@ -10,6 +10,9 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 
+from stairhatch.admission.budget import Level
+from stairhatch.admission.feedback import algorithm_for
+from stairhatch.admission.gate import SERVED, Gate, GatePolicy, Judged, Kind, Verdict
 from stairhatch.interface import CallClass
 from stairhatch.node import roster
 from stairhatch.node.core import AWAY_S, CUT, Core, Machine, Offer
@@ -28,8 +31,9 @@
     is_address,
     is_v6,
 )
-from stairhatch.sip.heads import SIP_PORT, Head, echo, lines, render
+from stairhatch.sip.heads import HERE, SIP_PORT, Head, echo, lines, render
 from stairhatch.sip.leg import ACCEPT, ALLOW, SUPPORTED, Leg, Ours
+from stairhatch.sip.peek import peek
 from stairhatch.sip.sessions import Exchange, Offered, Prack, Refusal, TimerPolicy
 from stairhatch.sip.transactions import Server, Transactions
 
@@ -73,6 +77,7 @@
     restart_wait_s: float = 60.0  # so long a restart waits for calls that stand
     timers: TimerPolicy = field(default_factory=TimerPolicy)
     auth: AuthConfig | None = None
+    gate: GatePolicy | None = None  # what we can take ourselves; None: whatever comes is served
 
 
 LIVE = ("numbers", "default_class", "timers", "auth", "restart_wait_s")  # what a reload takes over
@@ -95,6 +100,9 @@
         self.counters = core.counters
         self.transactions = Transactions(core, config.memory_mb * 1024 * 1024)
         self.transactions.reroute = self._way_of_answer
+        self.transactions.feedback = self._feedback
+        self.gate = Gate(part, config.gate) if config.gate is not None else None
+        self._admitted = b""  # the transaction that the gate has just let in by a look
         self.dialogs: dict[tuple[str, str, str], Leg] = {}
         self.ours: dict[tuple[Leg, str], Ours] = {}
         self.connections: dict[Place, SipConnection] = {}
@@ -132,6 +140,64 @@
 
         return connect
 
+    def settle(self, flow: UdpFlow, data: bytes) -> bool:
+        """Deal with a datagram by a look at it, while we are pressed: a copy is answered and a call that is
+        shed is refused, before either costs a parse. False: it is to be parsed.
+        """
+        if self.gate is None or self.gate.budget.level is Level.FREE:
+            return False
+        seen = peek(data)
+        if seen is None:
+            return False
+        place = seen.place(flow.peer)
+        if self.transactions.copy_of(seen.key, seen.method, flow, place):
+            self.counters.add(f"got_{seen.method}" if seen.method in METHODS else "got_other")
+            return True
+        if seen.method != "INVITE" or seen.within:
+            return False
+        judged = self._judge_call(flow.peer[0], seen.user, "")
+        if judged.verdict is Verdict.SERVE:
+            self._admitted = seen.key
+            return False
+        self.counters.add("got_INVITE")
+        self._note_shed(judged)
+        UdpFlow(flow.port, place).send(seen.unavailable(flow.peer, self.token(), judged.return_s))
+        return True
+
+    def _judge_call(self, source: str, user: str, named: str) -> Judged:
+        """Whether we can take a new call of a source, by what its class is worth."""
+        assert self.gate is not None
+        kind, _ = self.class_of(user, named)
+        return self.gate.judge(Kind.CALL, source, kind.importance if kind else 0.0, self.core.clock())
+
+    def _note_shed(self, judged: Judged) -> None:
+        self.counters.add("sent_503")
+        self.counters.add(judged.verdict.value)
+
+    def looked(self, delay_s: float) -> None:
+        """The loop was late by so much, or a datagram has waited so long."""
+        if self.gate is None:
+            return
+        before, now = self.gate.budget.level, self.core.clock()
+        level = self.gate.budget.look(now, delay_s)
+        if level is not before:
+            told = f"{1000 * self.gate.budget.delay_s:.0f}"
+            self.core.log(
+                "load", level=level.name.lower(), delay_ms=told, shed=f"{self.gate.budget.share:.2f}"
+            )
+
+    def _feedback(self, transaction: Server) -> str:
+        return self._told(transaction.source, transaction.oc)
+
+    def _told(self, source: str, asked: str) -> str:
+        """What a caller that knows overload control is told with an answer (RFC 7339)."""
+        algorithm = algorithm_for(asked)
+        if self.gate is None or algorithm is None:
+            return ""
+        now, feedback = self.core.clock(), self.gate.feedback
+        told = feedback.callers.get(source) or self.gate.told(source, algorithm, now)
+        return feedback.parameters(told, self.gate.budget.shed_share(now), now)
+
     def flow_lost(self, flow: Flow) -> None:
         """A connection has ended, or is to be used no more."""
         if self.connections.get(flow.peer) is flow:  # the peer may have come again
@@ -197,18 +263,40 @@
     def _limits(self, flow: Flow, head: Head) -> bool:
         """Whether a new request may open a transaction; else it is answered without one."""
         status, extra = 0, ""
+        judged = self._gated(flow, head)
         if head.method == "INVITE" and not head.to_tag and self.core.turns_away():
             status, extra = 503, f"Retry-After: {max(1, math.ceil(AWAY_S))}\r\n"
             self.counters.add("calls_turned_away")
+        elif judged.verdict is not Verdict.SERVE:
+            status, extra = 503, f"Retry-After: {judged.return_s}\r\n"
+            self.counters.add(judged.verdict.value)
         elif not self.transactions.room(flow.peer[0]) and not (head.to_tag and key_of(head) in self.dialogs):
             status, extra = 503, "Retry-After: 2\r\n"
             self.counters.add("table_full")
         if status:
             tag = "" if head.to_tag else self.token()
-            data = render(status, head.echo, tag, extra)
+            echoed = head.echo
+            if head.oc:
+                echoed = echoed.replace(HERE, self._told(flow.peer[0], head.oc))
+            data = render(status, echoed, tag, extra)
             self._stateless(flow, head.place(flow.peer, flow.reliable), data, status)
         return not status
 
+    def _gated(self, flow: Flow, head: Head) -> Judged:
+        """Whether we can take a new request ourselves."""
+        admitted, self._admitted = self._admitted, b""
+        if self.gate is None or head.to_tag or head.method in ("CANCEL", "PRACK", "BYE", "UPDATE"):
+            return SERVED
+        source = flow.peer[0]
+        if head.method != "INVITE":
+            return self.gate.judge(Kind.OTHER, source, 0.0, self.core.clock())
+        if head.oc and (algorithm := algorithm_for(head.oc)) is not None:
+            self.gate.told(source, algorithm, self.core.clock())
+        if admitted == head.key:
+            return SERVED
+        user = sip.user_of(head.message.uri)
+        return self._judge_call(source, user, head.message.get("call-kind"))
+
     def _unfit(self, head: Head) -> tuple[int, sip.Headers] | None:
         """What is wrong with a request before its method counts (8.2.1 to 8.2.3)."""
         message, method = head.message, head.method
@@ -279,11 +367,11 @@
 
     # ---- a new call ----
 
-    def read_class(self, uri: grammar.Uri, named: str) -> tuple[CallClass | None, int]:
+    def class_of(self, user: str, named: str) -> tuple[CallClass | None, int]:
         """Class and first choice: `Call-Kind` names the class, else the number called does by its prefix."""
         name, choice = self.config.default_class, -1
         for prefix, listed, first in self.config.numbers:
-            if uri.user.startswith(prefix):
+            if user.startswith(prefix):
                 name, choice = listed, first
                 break
         return self.core.class_named(named or name), choice
@@ -303,7 +391,7 @@
         if ident in self.core.by_ident:  # it is here already, by another way
             self.final(transaction, 482, [])
             return
-        kind, choice = self.read_class(uri, message.get("call-kind"))
+        kind, choice = self.class_of(uri.user, message.get("call-kind"))
         if kind is None or not uri.user or ("contact" in head.names and len(message.all("contact")) != 1):
             self.final(transaction, 400, [])
             return
--- a/stairhatch/sip/heads.py
+++ b/stairhatch/sip/heads.py
@@ -30,8 +30,20 @@
     """The mandatory headers of a request, read."""
 
     __slots__ = (
-        "call_id", "cseq", "echo", "from_", "from_tag", "hops", "key", "message", "method", "names", "to",
-        "to_tag", "via",
+        "call_id",
+        "cseq",
+        "echo",
+        "from_",
+        "from_tag",
+        "hops",
+        "key",
+        "message",
+        "method",
+        "names",
+        "oc",
+        "to",
+        "to_tag",
+        "via",
     )  # fmt: skip
 
     def __init__(self, message: sip.Message, peer: tuple[str, int]) -> None:
@@ -53,6 +65,7 @@
                 if not found.get(name):
                     raise GrammarError(f"no {name}")
             self.via = _mark(message, top, peer)
+            self.oc = self.via.parameters.get("oc-algo", "loss") if "oc" in self.via.parameters else ""
             self.call_id = found["call-id"]
             if not self.call_id.isprintable() or " " in self.call_id:
                 raise GrammarError("bad Call-ID")
@@ -102,6 +115,10 @@
     return blake2b("\0".join(parts).encode("utf-8", "surrogateescape"), digest_size=16).digest()
 
 
+OC = re.compile(r"\s*;\s*oc(?:-algo|-validity|-seq)?\s*(?:=\s*(?:\"[^\"]*\"|[^;,\s]*))?(?=\s*(?:;|\Z))", re.I)
+HERE = "\x01"  # in an answer's topmost Via: what overload control says comes here, or nothing does
+
+
 def _mark(message: sip.Message, index: int, peer: tuple[str, int]) -> Via:
     """Note in the topmost Via where the request came from (RFC 3261, 18.2.1; RFC 3581, 4). What it says of
     that itself is passed over: a third party would get the answers.
@@ -110,7 +127,10 @@
     first, *others = sip.split_list(whole) if "," in whole else [whole]
     via = grammar.read_via(first)
     asks = via.parameters.get("rport") == ""
-    if not asks and via.host == peer[0] and "received" not in via.parameters:
+    knows = "oc" in via.parameters
+    if knows:  # what it said it knows gives way to what it is told (RFC 7339, 4)
+        first = OC.sub("", first)
+    if not asks and not knows and via.host == peer[0] and "received" not in via.parameters:
         return via
     if "received" in via.parameters:
         first = RECEIVED.sub("", first)
@@ -120,6 +140,8 @@
         first = EMPTY_RPORT.sub(rf"\1={peer[1]}", first, count=1)
     if "rport" in via.parameters or via.host != peer[0]:
         first += f";received={peer[0]}"
+    if knows:
+        first += HERE
     message.headers[index] = ("via", ", ".join([first, *others]))
     parameters = {**via.parameters, "received": peer[0]}
     if asks:
@@ -143,6 +165,8 @@
 def render(status: int, echoed: str, tag: str, extra: str = "", body: bytes = b"") -> bytes:
     """The bytes of a response; `extra` is whole header lines, `tag` ours if To has none yet."""
     reason = sip.REASONS.get(status, "Unknown")
+    if HERE in echoed:
+        echoed = echoed.replace(HERE, "")
     mark = f";tag={tag}" if tag else ""
     head = f"SIP/2.0 {status} {reason}\r\n{echoed}{mark}\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
     return head.encode("utf-8", "surrogateescape") + body
--- a/stairhatch/sip/transactions.py
+++ b/stairhatch/sip/transactions.py
@@ -16,8 +16,8 @@
 
 from stairhatch.node.core import Counters
 from stairhatch.sip import message as sip
-from stairhatch.sip.flows import Flow, SipConnection, UdpFlow
-from stairhatch.sip.heads import Head, render
+from stairhatch.sip.flows import Flow, Place, SipConnection, UdpFlow
+from stairhatch.sip.heads import HERE, Head, render
 
 T1, T2, T4 = 0.5, 4.0, 5.0  # seconds (RFC 3261, 17.1.1.1)
 LAST = 64 * T1  # timers B, F, H, J, L and M
@@ -50,12 +50,15 @@
 class Server:
     """A server transaction. Its user answers it by `Transactions.respond` and may hang itself on `user`."""
 
-    __slots__ = ("echo", "flow", "head", "invite", "key", "last", "place", "size", "source", "state", "user")
+    __slots__ = (
+        "echo", "flow", "head", "invite", "key", "last", "oc", "place", "size", "source", "state",
+        "user",
+    )  # fmt: skip
 
     def __init__(self, key: bytes, head: Head, flow: Flow) -> None:
         self.key, self.flow, self.source = key, flow, flow.peer[0]
         self.head: Head | None = head  # until its final answer
-        self.echo = head.echo
+        self.echo, self.oc = head.echo, head.oc
         self.invite = head.method == "INVITE"
         self.state = State.PROCEEDING if self.invite else State.TRYING
         self.place = head.place(flow.peer, flow.reliable)
@@ -138,6 +141,7 @@
         self.live_bytes = 0
         self.by_source: dict[str, int] = {}  # bytes of open transactions
         self.reroute: Callable[[Server], Flow] = lambda transaction: transaction.flow  # where a flow died
+        self.feedback: Callable[[Server], str] = lambda transaction: ""  # what its caller is told of our load
         self._sweeping = False
 
     # ---- server ----
@@ -189,6 +193,25 @@
             flow.owed.add(transaction.key)
         return transaction
 
+    def copy_of(self, key: bytes, method: str, flow: Flow, place: Place) -> bool:
+        """Whether a request that was only looked at is a copy; it is answered then. An ACK never is one here:
+        it may have to be heard by a dialog.
+        """
+        if method == "ACK":
+            return False
+        transaction = self.servers.get(key)
+        if transaction is not None:
+            self._copy(transaction, flow)
+            return True
+        answer = self.memory.records.get(key)
+        if answer is None:
+            return False
+        self._count("retransmissions")
+        if answer:
+            back = UdpFlow(flow.port, place) if isinstance(flow, UdpFlow) else flow
+            back.send(answer)
+        return True
+
     def find(self, key: bytes) -> Server | None:
         """The open transaction of a key."""
         return self.servers.get(key)
@@ -199,7 +222,10 @@
         """Answer. A second final answer, or a provisional one behind it, is not sent; returns the bytes."""
         if not transaction.open:
             return b""
-        data = transaction.last = render(status, transaction.echo, tag, extra, body)
+        echoed = transaction.echo
+        if HERE in echoed:
+            echoed = echoed.replace(HERE, self.feedback(transaction))
+        data = transaction.last = render(status, echoed, tag, extra, body)
         if status >= 200:
             self._answered(transaction, status)
         elif not transaction.invite:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,344 @@
+"""What the softswitch itself can take: the budget's level, the sources' buckets, the order of worth, what
+callers are told, and a look at a datagram in place of a parse.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from stairhatch.admission.buckets import BucketPolicy, Buckets
+from stairhatch.admission.budget import Budget, BudgetPolicy, Level
+from stairhatch.admission.feedback import Algorithm, Feedback, algorithm_for
+from stairhatch.admission.gate import Gate, GatePolicy, Kind, Verdict, shed_by_worth
+from stairhatch.sip import message as sip
+from stairhatch.sip.heads import Head
+from stairhatch.sip.peek import peek
+
+from .peers import Inside, sip_headers
+
+BOUNDED = settings(
+    derandomize=True, max_examples=150, deadline=None, database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)  # fmt: skip
+SPAN_S = 0.05
+
+
+def looks(budget, now, *delays):
+    """Looks a span apart; returns the time after them."""
+    for delay in delays:
+        now += SPAN_S
+        budget.look(now, delay)
+    return now
+
+
+def test_the_level_rises_and_falls_at_different_delays():
+    """Guards against a level that swings with every look (hysteresis), and one that stays for ever."""
+    budget = Budget()
+    now = looks(budget, 0.0, *[0.03] * 100)
+    assert budget.level is Level.FREE and budget.shed_share(now) == 0.0
+    now = looks(budget, now, *[0.08] * 20)
+    assert budget.level is Level.PRESSED and budget.shed_share(now) > 0.5
+    share = budget.share
+    now = looks(budget, now, *[0.03] * 3)
+    assert budget.level is Level.PRESSED and budget.share >= share  # above the target it goes on to rise
+    now = looks(budget, now, *[0.001] * 80)
+    assert budget.level is Level.FREE and budget.share == 0.0 and budget.changes == 2
+
+
+def test_a_full_processor_sheds_all_new_calls_and_recovers():
+    """Guards against a stall after which calls that were given up are served first, and staying full."""
+    budget = Budget()
+    now = looks(budget, 0.0, *[1.0] * 5)
+    assert budget.level is Level.FULL and budget.shed_share(now) == 1.0
+    now = looks(budget, now, *[0.001] * 30)
+    assert budget.level is Level.PRESSED and budget.shed_share(now) < 1.0
+    looks(budget, now, *[0.001] * 80)
+    assert budget.level is Level.FREE
+
+
+def test_with_no_look_nothing_is_shed():
+    """Guards against calls shed for ever on an old figure."""
+    budget = Budget()
+    now = looks(budget, 0.0, *[1.0] * 5)
+    assert budget.shed_share(now + budget.policy.stale_s + 0.1) == 0.0
+
+
+@BOUNDED
+@given(st.lists(st.floats(0, 2), max_size=200))
+def test_a_share_is_a_share_whatever_is_measured(delays):
+    """Guards against a share that can't be drawn against, or one that sheds while free."""
+    budget = Budget()
+    now = 0.0
+    for delay in delays:
+        now = looks(budget, now, delay)
+        assert 0.0 <= budget.share <= budget.policy.most_shed
+        assert budget.level is not Level.FREE or budget.shed_share(now) == 0.0
+
+
+@BOUNDED
+@given(st.dictionaries(st.floats(0, 10), st.floats(0.001, 1), min_size=1, max_size=5), st.floats(0, 1))
+def test_the_least_worth_goes_first_and_as_much_as_was_asked(mix, share):
+    """Guards against save-roster calls shed while read-roster calls are served."""
+    found = shed_by_worth(mix, share)
+    whole = sum(mix.values())
+    assert abs(sum(found[worth] * mix[worth] for worth in mix) - share * whole) < 1e-6 * whole + 1e-9
+    worths = sorted(mix)
+    for less, more in itertools.pairwise(worths):
+        assert found[less] == pytest.approx(1.0) or found[more] == pytest.approx(0.0, abs=1e-9)
+
+
+def storm(seconds, policy, pressed, others=3):
+    """One source at twenty times the rate of the others; returns the shares of each that were served."""
+    chance, buckets, now = random.Random(1), Buckets(policy), 0.0
+    asked, served = {}, {}
+    sources = ["10.0.0.66"] * 20 * others + [f"10.0.{n + 1}.7" for n in range(others)] * others
+    while now < seconds:
+        now += chance.expovariate(400.0)
+        source = chance.choice(sources)
+        asked[source] = asked.get(source, 0) + 1
+        served[source] = served.get(source, 0) + (buckets.take(source, now, pressed) == 0.0)
+    return {source: served[source] / asked[source] for source in asked}
+
+
+def test_one_source_at_twenty_times_its_share_leaves_the_others_whole():
+    """The hard case: an office's storm is cut to its share while the program is pressed, and not before."""
+    shares = storm(20.0, BucketPolicy(source_rate=20, source_burst=20), pressed=True)
+    assert shares.pop("10.0.0.66") < 0.2
+    assert min(shares.values()) > 0.95
+    assert min(storm(20.0, BucketPolicy(source_rate=20, source_burst=20), pressed=False).values()) == 1.0
+
+
+def test_a_site_behind_one_proxy_is_not_limited():
+    """Guards against a limit that protects nobody: the only source is all the callers there are."""
+    buckets = Buckets(BucketPolicy(source_rate=1, source_burst=1))
+    assert all(buckets.take("10.0.0.1", 0.01 * n, True) == 0.0 for n in range(200))
+    assert buckets.take("10.0.0.2", 2.0, True) == 0.0
+    buckets.take("10.0.0.1", 2.0, True)
+    assert buckets.take("10.0.0.1", 2.0, True) > 0.0
+
+
+def test_made_up_sources_fill_no_memory_and_share_their_networks_bucket():
+    """Guards against a table that grows with addresses, and a storm spread over a whole network."""
+    policy = BucketPolicy(most=100, network_rate=10, network_burst=10)
+    buckets, served = Buckets(policy), 0
+    buckets.take("192.168.1.1", 0.0, True)
+    for number in range(5000):
+        served += buckets.take(f"10.1.2.{number % 250}", number * 0.0001, True) == 0.0
+        assert len(buckets.sources) <= 100 and len(buckets._names) <= 100
+    assert served <= 10 + 10 * 0.5 + 1
+    assert buckets.take("192.168.1.1", 1.0, True) == 0.0
+
+
+def test_what_belongs_to_dialogs_is_never_shed():
+    """Guards against calls that can't end while the program is full."""
+    gate = Gate(lambda: 0.0)
+    now = looks(gate.budget, 0.0, *[1.0] * 5)
+    assert gate.judge(Kind.WITHIN, "a", 0.0, now).verdict is Verdict.SERVE
+    judged = gate.judge(Kind.CALL, "a", 3.0, now)
+    assert judged.verdict is Verdict.SHED_LOAD and 1 <= judged.return_s <= 5
+    assert gate.judge(Kind.OTHER, "a", 0.0, now).verdict is Verdict.SHED_LOAD
+
+
+def test_calls_of_more_worth_stand_while_others_are_shed():
+    """Guards against an order of worth that is not kept as the mix of calls changes."""
+    chance = random.Random(3)
+    gate = Gate(chance.random, GatePolicy(BudgetPolicy(), BucketPolicy(source_rate=1e6, source_burst=1e6)))
+    now = looks(gate.budget, 0.0, *[0.08] * 5)
+    gate.budget.share = 0.4
+    counts = {1.0: [0, 0], 3.0: [0, 0]}
+    for _ in range(4000):
+        worth = 1.0 if chance.random() < 0.7 else 3.0
+        counts[worth][0] += 1
+        counts[worth][1] += gate.judge(Kind.CALL, "a", worth, now).verdict is Verdict.SERVE
+    assert counts[3.0][1] / counts[3.0][0] > 0.95
+    assert 0.35 < counts[1.0][1] / counts[1.0][0] < 0.55
+
+
+# ---- what callers are told ----
+
+
+class Told:
+    """A caller that sends at a rate and takes what it is told, or does not."""
+
+    def __init__(self, feedback, obeys):
+        self.feedback, self.obeys, self.chance = feedback, obeys, random.Random(5)
+
+    def run(self, seconds, share, now, rate=40.0):
+        end, sent = now + seconds, 0
+        figure = 0
+        while now < end:
+            now += 1.0 / rate
+            if self.obeys and self.chance.random() < figure / 100:
+                continue
+            sent += 1
+            told = self.feedback.came("10.0.0.1", Algorithm.LOSS, share, now)
+            text = self.feedback.parameters(told, share, now)
+            figure = int(text.split("oc=")[1].split(";")[0])
+        return now, sent / seconds
+
+
+def test_a_caller_that_obeys_is_believed_and_one_that_lies_is_not():
+    """Guards against meeting an honest caller with its bucket, and against one that ignores `oc` for good."""
+    for obeys in (True, False):
+        feedback = Feedback()
+        caller = Told(feedback, obeys)
+        now, rate = caller.run(10.0, 0.0, 0.0)
+        assert not feedback.ignores("10.0.0.1") and rate > 35
+        now, rate = caller.run(20.0, 0.6, now)
+        assert feedback.ignores("10.0.0.1") is not obeys
+        assert (rate < 20) is obeys
+        now, _ = caller.run(60.0, 0.0, now)
+        assert not feedback.ignores("10.0.0.1")
+
+
+def test_the_figures_are_of_the_rfc():
+    """Guards against a sequence that goes back, a validity that never ends, and a rate of nothing."""
+    feedback = Feedback()
+    told = feedback.came("a", Algorithm.LOSS, 0.2, 100.0)
+    first, second = feedback.parameters(told, 0.2, 100.0), feedback.parameters(told, 0.2, 99.0)
+    assert first == ';oc=20;oc-algo="loss";oc-validity=1000;oc-seq=100.000'
+    assert second.endswith("oc-seq=100.001")
+    assert "oc=0;" in feedback.parameters(told, 0.0, 101.0) and "validity=0" in feedback.parameters(
+        told, 0.0, 102.0
+    )
+    rate = feedback.came("b", Algorithm.RATE, 1.0, 100.0)
+    assert ';oc=1;oc-algo="rate"' in feedback.parameters(rate, 1.0, 103.0)
+    assert algorithm_for('"rate"') is Algorithm.RATE and algorithm_for('"loss,rate"') is Algorithm.LOSS
+    assert algorithm_for("") is Algorithm.LOSS and algorithm_for('"A"') is None
+
+
+# ---- a look at a datagram ----
+
+
+@BOUNDED
+@given(
+    st.sampled_from(["INVITE", "BYE", "ACK", "CANCEL", "OPTIONS"]),
+    st.sampled_from(["127.0.0.1:4000", "office.example:5099", "10.2.3.4", "[::1]:4000", "host:99999"]),
+    st.sampled_from([";rport", "", ";rport;x=y"]),
+    st.booleans(),
+    st.binary(max_size=40),
+)
+def test_a_look_tells_what_a_parse_would(method, host, rport, tag, body):
+    """Guards against a copy taken for a new call, or a new call for a copy, where the parser would know."""
+    lines = sip_headers(method, "1", "z9hG4bKlook", to_tag="t" if tag else "")
+    lines["via"] = f"SIP/2.0/UDP {host};branch=z9hG4bKlook{rport}"
+    data = sip.request(method, "sip:712@net", list(lines.items()), body)
+    seen, head = peek(data), Head(sip.parse_datagram(data), ("127.0.0.1", 4000))
+    if seen is not None:
+        assert (seen.method, seen.user, seen.key) == (method, "712", head.key)
+        assert seen.within is bool(head.to_tag)
+        assert seen.place(("127.0.0.1", 4000)) == head.place(("127.0.0.1", 4000), False)
+        answer = sip.parse_datagram(seen.unavailable(("127.0.0.1", 4000), "mine", 3))
+        assert answer.status == 503 and answer.get("retry-after") == "3"
+        for name in ("call-id", "cseq", "from"):
+            assert answer.get(name) == lines[name]
+    else:
+        assert rport == ";rport;x=y"
+
+
+@BOUNDED
+@given(st.binary(max_size=300))
+def test_a_look_at_anything_upsets_nothing(data):
+    """Guards against a datagram that stops the program before it is parsed."""
+    peek(data)
+    peek(b"INVITE sip:7@net SIP/2.0\r\n" + data + b"\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    "line", ["Via: SIP/2.0/UDP h;branch=z9hG4bKq\r\n ;rport", "To: <sip:7@net>", "v : x"]
+)
+def test_what_is_written_otherwise_is_left_to_the_parser(line):
+    """Guards against a look at a folded Via, two To or an odd name that a parse would read otherwise."""
+    lines = sip_headers("INVITE")
+    data = sip.request("INVITE", "sip:7@net", list(lines.items()))
+    first, _, rest = data.partition(b"\r\n")
+    assert peek(data) is not None
+    assert peek(first + b"\r\n" + line.encode() + b"\r\n" + rest) is None
+
+
+# ---- at the front ----
+
+
+def ask(inside, method="INVITE", number=1, via_more="", to_tag="", peer=("127.0.0.1", 4000), uri="sip:1@net"):
+    """A datagram to the front; returns the answers it led to."""
+    lines = sip_headers(method, "1", f"z9hG4bK{number}", f"c{number}", to_tag=to_tag)
+    lines["via"] += via_more
+    data = sip.request(method, uri, list(lines.items()))
+    port = inside.front.ports[0]
+    port.receive(data, peer)
+    sent = [sip.parse_datagram(each) for each, _ in port.output]
+    port.output.clear()
+    return sent
+
+
+def pressed(delay, spans):
+    """A front under such a delay."""
+    inside = Inside(gate=GatePolicy(buckets=BucketPolicy(source_rate=1e6, source_burst=1e6)))
+    for _ in range(spans):
+        inside.now += SPAN_S
+        inside.front.looked(delay)
+    return inside
+
+
+def test_a_shed_call_leaves_nothing_and_its_copies_cost_no_more():
+    """Guards against half-made calls and against shed calls that stay in tables."""
+    inside = pressed(1.0, 5)
+    for number in range(50):
+        for _ in range(2):
+            (answer,) = ask(inside, number=number)
+            assert answer.status == 503 and 1 <= int(answer.get("retry-after")) <= 5
+    assert not inside.written and not inside.front.transactions.servers and not inside.core.calls
+    assert not inside.front.transactions.memory.records
+    counts = inside.core.counters.counts
+    assert counts["shed_load"] == 100 and "malformed_from_callers" not in counts
+
+
+def test_calls_that_stand_go_on_while_all_new_ones_are_shed():
+    """Guards against an ACK, a BYE or a copy that is shed with the new calls."""
+    inside = pressed(0.0, 1)
+    ask(inside, number=1)
+    inside.stand()
+    tag = sip.parameters(sip.parse_datagram(inside.front.ports[0].output[-1][0]).get("to"))["tag"]
+    inside.front.ports[0].output.clear()
+    for _ in range(5):
+        inside.now += SPAN_S
+        inside.front.looked(1.0)
+    assert ask(inside, number=2)[0].status == 503
+    assert ask(inside, number=1) == []  # a copy of what stands is absorbed
+    ask(inside, "ACK", number=1, to_tag=tag)
+    inside.run(5.0)
+    assert not inside.front.ports[0].output
+    lines = sip_headers("BYE", "2", "z9hG4bKbye", "c1", to_tag=tag)
+    inside.front.ports[0].receive(sip.request("BYE", "sip:x@net", list(lines.items())), ("127.0.0.1", 4000))
+    assert sip.parse_datagram(inside.front.ports[0].output[-1][0]).status == 200
+
+
+def test_callers_that_know_overload_control_are_told_in_their_via():
+    """Guards against a figure in the wrong Via, or for callers that asked for none (RFC 7339, 5.1)."""
+    inside = pressed(0.08, 8)
+    told = ask(inside, number=1, via_more=';oc;oc-algo="loss,rate"')[0].get("via")
+    assert (
+        ';oc-algo="loss"' in told
+        and ";oc-validity=1000" in told
+        and int(told.split("oc=")[1].split(";")[0]) > 0
+    )
+    assert "oc" not in ask(inside, number=2)[0].get("via")
+    assert "\x01" not in told
+    free = Inside(gate=GatePolicy())
+    assert ";oc=0;" in ask(free, number=3, via_more=";oc")[0].get("via")
+
+
+def test_changes_of_the_level_are_told_once():
+    """Guards against a log that says at every look that we are pressed."""
+    told = []
+    inside = Inside(gate=GatePolicy())
+    inside.core.log = lambda event, **fields: told.append((event, fields.get("level")))
+    for delay in [0.08] * 20 + [0.0] * 100:
+        inside.now += SPAN_S
+        inside.front.looked(delay)
+    assert told == [("load", "pressed"), ("load", "free")]
