Hold a rate of calls while pressed, refuse by one look, and leave admission off

Cause: a share moved by steps swung, since the same share of twice the load is twice the work; a refusal cost a quarter of a call.

--- a/stairhatch/admission/gate.py
+++ b/stairhatch/admission/gate.py
@@ -99,11 +99,9 @@
         pressed = budget.level is not Level.FREE or self.feedback.ignores(source)
         if (wait := self.buckets.take(source, now, pressed)) > 0.0:
             return Judged(Verdict.SHED_SOURCE, self._return(wait))
-        if share <= 0.0:
-            return SERVED
-        if self.part() < self.shed_share_of(worth, share):
-            return Judged(Verdict.SHED_LOAD, self._return(0.0))
-        return SERVED
+        served = share <= 0.0 or self.part() >= self.shed_share_of(worth, share)
+        budget.came(served)
+        return SERVED if served else Judged(Verdict.SHED_LOAD, self._return(0.0))
 
     def shed_share_of(self, worth: float, share: float) -> float:
         """The share to shed of calls of a worth while so much of all is shed."""
--- a/stairhatch/config/appliance.py
+++ b/stairhatch/config/appliance.py
@@ -75,9 +75,9 @@
 
 
 class AdmissionTable(_Table, frozen=True):
-    """What the appliance itself can take."""
+    """What the appliance itself can take. Off until it is turned on: docs/overload.md says what it costs."""
 
-    on: bool = True
+    on: bool = False
     onset_ms: Annotated[float, Meta(gt=0, le=1000)] = 50.0
     abatement_ms: Annotated[float, Meta(gt=0, le=1000)] = 10.0
     target_ms: Annotated[float, Meta(gt=0, le=1000)] = 20.0
--- a/stairhatch/sip/front.py
+++ b/stairhatch/sip/front.py
@@ -33,7 +33,7 @@
 )
 from stairhatch.sip.heads import HERE, SIP_PORT, Head, echo, lines, render
 from stairhatch.sip.leg import ACCEPT, ALLOW, SUPPORTED, Leg, Ours
-from stairhatch.sip.peek import peek
+from stairhatch.sip.peek import is_ack_to_shed, peek
 from stairhatch.sip.sessions import Exchange, Offered, Prack, Refusal, TimerPolicy
 from stairhatch.sip.transactions import Server, Transactions
 
@@ -146,6 +146,9 @@
         """
         if self.gate is None or self.gate.budget.level is Level.FREE:
             return False
+        if is_ack_to_shed(data):
+            self.counters.add("got_ACK")
+            return True
         seen = peek(data)
         if seen is None:
             return False
--- a/stairhatch/sip/peek.py
+++ b/stairhatch/sip/peek.py
@@ -11,14 +11,16 @@
 from stairhatch.sip.heads import digest
 
 START = re.compile(rb"([A-Z]{3,10}) sip:([A-Za-z0-9+*#.\-]{1,64})@[^\s@]{1,255} SIP/2\.0\r\n")
-TOP = re.compile(
-    rb"\r\n(?:Via|v): SIP/2\.0/(?:UDP|TCP) ([A-Za-z0-9.\-]{1,255}|\[[0-9A-Fa-f:.]{2,45}\])(?::([0-9]{1,5}))?"
-    rb";branch=(z9hG4bK[A-Za-z0-9\-.!%*_+`'~]{1,200})(;rport)?\r\n"
+VIA = re.compile(
+    rb"SIP/2\.0/(?:UDP|TCP) ([A-Za-z0-9.\-]{1,255}|\[[0-9A-Fa-f:.]{2,45}\])(?::([0-9]{1,5}))?"
+    rb";branch=(z9hG4bK[A-Za-z0-9\-.!%*_+`'~]{1,200})(;rport)?\Z"
 )
-ANY_VIA = re.compile(rb"\r\n(?:via|v)[ \t]*:", re.I)
-FOLDED = re.compile(rb"\r\n[ \t]")
-ECHOED = re.compile(rb"\r\n(Via|v|From|f|Call-ID|i|CSeq|To|t): ([^\r\n]*)")
-FULL_NAMES = {b"v": b"Via", b"f": b"From", b"i": b"Call-ID", b"t": b"To"}
+NAMED = re.compile(rb"\r\n(?:(via|v|from|f|to|t|call-id|i|cseq)[ \t]*:[ \t]*([^\r\n]*)|[ \t])", re.I)
+SHED = b";tag=shed-"  # in the To of a refusal that leaves no trace: its ACK is known by it
+FULL_NAMES = {
+    b"v": b"Via", b"via": b"Via", b"f": b"From", b"from": b"From", b"i": b"Call-ID", b"call-id": b"Call-ID",
+    b"t": b"To", b"to": b"To", b"cseq": b"CSeq",
+}  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,27 +30,26 @@
     method: str
     user: str  # the number called
     key: bytes  # of its transaction
-    within: bool  # its To has a tag
-    head: bytes
+    to: bytes
+    echoed: list[tuple[bytes, bytes]]  # what an answer repeats, but To; the topmost Via first of its kind
     rport: bool
     port: int
 
+    @property
+    def within(self) -> bool:
+        """Whether its To has a tag."""
+        return b"tag=" in self.to.lower()
+
     def unavailable(self, peer: tuple[str, int], tag: str, return_s: int) -> bytes:
         """A 503 for it, with Retry-After and where it came from."""
-        lines, to, first = [b"SIP/2.0 503 Service Unavailable"], b"", True
-        for found in ECHOED.finditer(self.head):
-            name, value = FULL_NAMES.get(found.group(1), found.group(1)), found.group(2)
-            if name == b"Via" and first:
-                first = False
-                if self.rport:
-                    value += f"={peer[1]}".encode()
-                value += f";received={peer[0]}".encode()
-            if name == b"To":
-                to = value
-            else:
-                lines.append(name + b": " + value)
-        lines.append(b"To: " + to + b";tag=" + tag.encode())
-        lines.append(f"Retry-After: {return_s}\r\nContent-Length: 0\r\n\r\n".encode())
+        mark = f"={peer[1]};received={peer[0]}" if self.rport else f";received={peer[0]}"
+        lines, first = [b"SIP/2.0 503 Service Unavailable"], mark.encode()
+        for name, value in self.echoed:
+            if first and name == b"Via":
+                value, first = value + first, b""
+            lines.append(name + b": " + value)
+        lines.append(b"To: " + self.to + SHED + tag.encode())
+        lines.append(b"Retry-After: %d\r\nContent-Length: 0\r\n\r\n" % return_s)
         return b"\r\n".join(lines)
 
     def place(self, peer: tuple[str, int]) -> tuple[str, int]:
@@ -56,33 +57,40 @@
         return peer if self.rport else (peer[0], self.port)
 
 
+def is_ack_to_shed(data: bytes) -> bool:
+    """Whether a datagram acknowledges a refusal that left no trace: nothing is to be done with it."""
+    return data.startswith(b"ACK ") and SHED in data
+
+
 def peek(data: bytes) -> Peek | None:
     """Look at a datagram; None where only a parse can tell."""
     start = START.match(data)
-    if start is None:
-        return None
     end = data.find(b"\r\n\r\n")
-    if end < 0:
-        return None
-    head = data[: end + 2]
-    top = TOP.search(head)
-    via = ANY_VIA.search(head)
-    if top is None or via is None or via.start() != top.start() or FOLDED.search(head):
+    if start is None or end < 0:
         return None
-    names = [FULL_NAMES.get(found.group(1), found.group(1)) for found in ECHOED.finditer(head)]
-    if any(names.count(name) != 1 for name in (b"From", b"To", b"Call-ID", b"CSeq")):
+    echoed: list[tuple[bytes, bytes]] = []
+    to, via, once = None, None, 0
+    for written, value in NAMED.findall(data, start.end() - 2, end):
+        if not written:
+            return None  # a folded line
+        name = FULL_NAMES[written.lower()]
+        if name == b"To":
+            if to is not None:
+                return None
+            to = value
+            continue
+        if name == b"Via":
+            via = via or VIA.match(value)
+            if via is None:
+                return None
+        else:
+            once += 1
+        echoed.append((name, value))
+    if to is None or via is None or once != 3 or len({name for name, _ in echoed}) != 4:
         return None
+    host, digits, branch, rport = via.groups()
+    port = int(digits) if digits and 0 < int(digits) < 65536 else None
     method = start.group(1).decode()
-    host = top.group(1).decode().lower().strip("[]")
-    port = int(top.group(2)) if top.group(2) and 0 < int(top.group(2)) < 65536 else None
-    named = "INVITE" if method == "ACK" else method
-    to = next(f.group(2) for f in ECHOED.finditer(head) if f.group(1) in (b"To", b"t"))
-    return Peek(
-        method=method,
-        user=start.group(2).decode(),
-        key=digest(top.group(3).decode(), f"{host}:{port}", named),
-        within=b"tag=" in to.lower(),
-        head=head,
-        rport=bool(top.group(4)),
-        port=port or 5060,
-    )
+    sent_by = f"{host.decode().lower().strip('[]')}:{port}"
+    key = digest(branch.decode(), sent_by, "INVITE" if method == "ACK" else method)
+    return Peek(method, start.group(2).decode(), key, to, echoed, bool(rport), port or 5060)
