--- a/tests/test_appliance_config.py
+++ b/tests/test_appliance_config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import signal
 import subprocess
 import sys
 
@@ -12,8 +13,9 @@
 from stairhatch.cli import main_group
 from stairhatch.config import ConfigError
 from stairhatch.config.appliance import config_from
+from stairhatch.sip import message as sip
 
-from .peers import ROOT, Caller, Program, RosterServer, sip_headers
+from .peers import ROOT, Caller, Inside, Line, Program, RosterServer, sip_headers, until
 
 TEXT = (ROOT / "deploy" / "sip.toml").read_text()
 
@@ -136,3 +138,50 @@
         six.send("OPTIONS", "sip:x@net", sip_headers("OPTIONS", "1", f"z9hG4bK{name}", name, six.host, way))
         six.expect(name, 200)
     assert both.stop() == 0
+
+
+@pytest.mark.parametrize("hangs_up", [True, False], ids=["the caller hangs up", "a second SIGTERM"])
+def test_a_restart_waits_for_calls_that_stand(tmp_path, hangs_up):
+    """Guards against dialogs that are forgotten with the process, and a restart that can't be hurried."""
+    server = RosterServer()
+    first = Program.as_appliance(tmp_path, server, RosterServer())
+    text = first.path.read_text().replace("restart_wait_s = 0.2", "restart_wait_s = 60")
+    assert first.stop() == 0
+    first.path.write_text(text)
+    program = Program(tmp_path, "serve", str(first.path)).ready(first.address[1], first.door[1])
+    assert program is not None and program.serves()
+    caller = Caller(program.address, udp=True)
+    caller.send("INVITE", "sip:71@net", sip_headers("INVITE", host=caller.host), b"v=0")
+    tag = sip.parameters(caller.expect("c1", 200).get("to"))["tag"]
+    caller.send("ACK", "sip:71@net", sip_headers("ACK", "1", "z9hG4bKb", host=caller.host, to_tag=tag))
+    program.process.send_signal(signal.SIGTERM)
+    until(lambda: program.lines("waiting"), "the line that tells whom it waits for")
+    assert program.lines("waiting")[0]["dialogs"] == "1" and "waiting for 1 calls" in program.text()
+    assert not server.of("FINISH") and program.process.poll() is None
+    if hangs_up:
+        caller.send("BYE", "sip:71@net", sip_headers("BYE", "2", "z9hG4bKc", host=caller.host, to_tag=tag))
+        until(lambda: any(m.cseq() == (2, "BYE") for m in caller.of("c1", 200)), "200 to the BYE")
+    else:
+        program.process.send_signal(signal.SIGTERM)
+        caller.answer(caller.expect("c1", "BYE"), 200)
+    assert program.process.wait(20) == 0
+    assert len(program.lines("ended")) == (not hangs_up)
+    until(lambda: server.of("FINISH"), "the release at the roster server")
+
+
+def test_a_request_too_large_for_udp_goes_by_tcp_and_by_udp_if_nobody_listens():
+    """Guards against a BYE that is lost because it does not fit (RFC 3261, 18.1.1)."""
+    inside, dialled = Inside(), []
+    inside.front.dial = dialled.append
+    line = Line(inside)
+    routes = ", ".join(f"<sip:127.0.0.1:{4100 + n};lr;padding={'x' * 200}>" for n in range(8))
+    line.ask(record_route=routes)
+    inside.stand()
+    line.ask("ACK", to=f"<sip:7@net>;tag={line.tag()}")
+    attempt = inside.written[0]
+    inside.core.finished(attempt.server, attempt.call.offer.ident, 16, "", inside.report())
+    assert not inside.front.ports[0].output and dialled[0].peer == ("127.0.0.1", 4100)
+    assert dialled[0].pull().startswith(b"BYE ")
+    dialled[0].lost()
+    dialled[1].lost()  # tried twice in vain
+    assert line.sent[-1].method == "BYE"
