Answer copies in one place, whether they were parsed or only looked at

Cause: the look at a datagram had brought a second text of how a copy is answered. Change: one method serves both.

--- a/stairhatch/sip/transactions.py
+++ b/stairhatch/sip/transactions.py
@@ -151,13 +151,24 @@
         answered with 300 or above.
         """
         key = head.key
-        transaction = self.servers.get(key)
         if head.method == "ACK":
+            transaction = self.servers.get(key)
             if transaction is None:
                 return key in self.memory.records and head.to_tag == ""
             if transaction.state is State.COMPLETED:
                 self._confirm(transaction)
             return True
+        return self._repeated(key, flow, lambda: head.place(flow.peer, False))
+
+    def copy_of(self, key: bytes, method: str, flow: Flow, place: Place) -> bool:
+        """Whether a request that was only looked at is a copy; it is answered then. An ACK never is one here:
+        it may have to be heard by a dialog.
+        """
+        return method != "ACK" and self._repeated(key, flow, lambda: place)
+
+    def _repeated(self, key: bytes, flow: Flow, place: Callable[[], Place]) -> bool:
+        """Answer a copy as it was answered before; False for what is none."""
+        transaction = self.servers.get(key)
         if transaction is not None:
             self._copy(transaction, flow)
             return True
@@ -166,9 +177,7 @@
             return False
         self._count("retransmissions")
         if answer:
-            back = flow
-            if isinstance(flow, UdpFlow):
-                back = UdpFlow(flow.port, head.place(flow.peer, False))
+            back = UdpFlow(flow.port, place()) if isinstance(flow, UdpFlow) else flow
             back.send(answer)
         return True
 
@@ -193,25 +202,6 @@
             flow.owed.add(transaction.key)
         return transaction
 
-    def copy_of(self, key: bytes, method: str, flow: Flow, place: Place) -> bool:
-        """Whether a request that was only looked at is a copy; it is answered then. An ACK never is one here:
-        it may have to be heard by a dialog.
-        """
-        if method == "ACK":
-            return False
-        transaction = self.servers.get(key)
-        if transaction is not None:
-            self._copy(transaction, flow)
-            return True
-        answer = self.memory.records.get(key)
-        if answer is None:
-            return False
-        self._count("retransmissions")
-        if answer:
-            back = UdpFlow(flow.port, place) if isinstance(flow, UdpFlow) else flow
-            back.send(answer)
-        return True
-
     def find(self, key: bytes) -> Server | None:
         """The open transaction of a key."""
         return self.servers.get(key)
