Let calls from before users were asked for end, and ask for free ports in one place

Cause: read once more, a reload that turned users on answered the BYE of a standing call 401 and, with credentials, 403, so that nobody could hang it up; tests and a benchmark each had their own search for a port. Change: a dialog begun without proof is not challenged; stairhatch/standin/ports.py.

--- a/benchmarks/sip_calls.py
+++ b/benchmarks/sip_calls.py
@@ -15,7 +15,6 @@
 import os
 import random
 import signal
-import socket
 import statistics
 import subprocess
 import sys
@@ -28,6 +27,7 @@
 
 from stairhatch.standin.behaviour import stands
 from stairhatch.standin.caller import Caller, End, Placed
+from stairhatch.standin.ports import free_port
 from stairhatch.standin.roster import StandIn
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -57,18 +57,6 @@
 """
 
 
-def free_port() -> int:
-    """A port that is free for UDP and TCP."""
-    while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            try:
-                udp.bind(tcp.getsockname())
-            except OSError:
-                continue
-            return int(tcp.getsockname()[1])
-
-
 async def serve_rosters(count: int) -> None:
     """Stand-in roster servers that set everything up at once, until the input ends."""
     servers = [await StandIn(lambda key: (stands(),), lines=100_000).listen() for _ in range(count)]
--- a/stairhatch/sip/front.py
+++ b/stairhatch/sip/front.py
@@ -327,7 +327,8 @@
         if method == "CANCEL":
             self._cancel(transaction, head)
             return
-        if method in GUARDED and self.guard is not None:
+        begun_freely = leg is not None and not leg.user  # before users were asked for: it must be able to end
+        if method in GUARDED and self.guard is not None and not begun_freely:
             user = self._who(transaction, head)
             if user is None:
                 return
--- /dev/null
+++ b/stairhatch/standin/ports.py
@@ -0,0 +1,17 @@
+"""Ports for tests and benchmarks: owns the question to the system which are free. It never holds one."""
+
+from __future__ import annotations
+
+import socket
+
+
+def free_port() -> int:
+    """A port that the system says is free, over TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            try:
+                udp.bind(tcp.getsockname())
+            except OSError:
+                continue
+            return int(tcp.getsockname()[1])
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -27,6 +27,7 @@
 from stairhatch.sip import message as sip
 from stairhatch.sip.flows import Flow
 from stairhatch.sip.front import Listener, SipConfig, SipFront
+from stairhatch.standin.ports import free_port
 
 ROOT = Path(__file__).parent.parent
 PATIENCE_S = 20.0  # how long a story waits for what must come; far more than it takes
@@ -287,18 +288,6 @@
         self.sock.close()
 
 
-def free_port() -> int:
-    """A port that the system says is free, over TCP and UDP."""
-    while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            try:
-                udp.bind(tcp.getsockname())
-            except OSError:
-                continue
-            return int(tcp.getsockname()[1])
-
-
 def platform_config(
     coordinator: Coordinator, port: int, door: int, settings: dict | None = None, sockets: int = 1024
 ) -> dict:
--- a/tests/test_sip_layers.py
+++ b/tests/test_sip_layers.py
@@ -19,7 +19,7 @@
 from stairhatch.sip.sessions import Due, Lease, Refresher, SessionTimer, TimerPolicy
 from stairhatch.sip.transactions import LAST, Transactions
 
-from .peers import Inside, sip_headers
+from .peers import Inside, Line, sip_headers
 
 BOUNDED = settings(
     derandomize=True, max_examples=150, deadline=None, database=None,
@@ -367,8 +367,6 @@
 
 def test_a_restart_ends_on_both_sides_what_it_cannot_wait_for():
     """Guards against dialogs that the next process knows nothing of, and calls that nobody releases."""
-    from .peers import Line
-
     line = Line(Inside())
     line.ask()
     line.inside.stand()
@@ -380,8 +378,6 @@
 
 def test_a_bye_whose_connection_dies_goes_another_way():
     """Guards against a release that is lost with its connection (client transactions fail over)."""
-    from .peers import Line
-
     inside, dialled = Inside(), []
     inside.front.dial = dialled.append
     line = Line(inside, reliable=True)
@@ -396,3 +392,16 @@
     assert dialled and b"BYE sip:office@127.0.0.1:4010" in dialled[0].pull()
     dialled[0].lost()  # nobody listens there: UDP is left
     assert inside.front.ports[0].output[-1][1] == ("127.0.0.1", 4010)
+
+
+def test_a_call_from_before_users_were_asked_for_can_still_end():
+    """Guards against dialogs that nobody can hang up once a reload has turned users on."""
+    line = Line(Inside())
+    line.ask()
+    line.inside.stand()
+    tag = line.tag()
+    line.ask("ACK", to=f"<sip:7@net>;tag={tag}")
+    front = line.inside.front
+    front.guard, _ = guard()
+    assert line.ask("BYE", number="2", to=f"<sip:7@net>;tag={tag}").status == 200
+    assert line.ask(number="1", call_id="c9", branch="z9hG4bKnew").status == 401
