--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -57,6 +57,16 @@
     return socket.AF_INET6 if ":" in host else socket.AF_INET
 
 
+def unread(sock: socket.socket) -> bytes | None:
+    """The first byte that lies unread on a connection; b"" for its end or a fault, None for neither."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+
+
 class Pool:
     """Buffers of one size, used again."""
 
@@ -158,13 +168,16 @@
 
         Guards against callers that connect and say nothing, or ask once and hold on, until no other can
         connect. What was heard keeps its connection while a silent one can go, and a message that comes in
-        pieces is cut off only where nobody is idle.
+        pieces is cut off only where nobody is idle. One whose bytes lie unread is not idle but has not been
+        looked at: where the loop comes to a newcomer later than `young_s`, it would be taken for silent
+        and put out with its set-up.
         """
         old = self.network.loop.time() - self.bounds.young_s
         idle_ones = [one for one in self.taken if one.last <= old and not one.machine.owes()]
-        if not idle_ones:
+        idle_ones.sort(key=lambda one: (one.begun > 0, one.machine.asked))  # stable: the first of equals
+        one = next((one for one in idle_ones if not unread(one.sock)), None)
+        if one is None:
             return False
-        one = min(idle_ones, key=lambda one: (one.begun > 0, one.machine.asked))  # the first of equals
         del self.taken[one]
         self.network.core.counters.add("connections_evicted")
         if word := one.machine.put_out():
@@ -202,12 +215,7 @@
             quiet = now - one.last >= QUIET_S if machine.asked else now - one.since >= FRESH_S
             if machine.closing or not quiet or not machine.idle():
                 continue
-            try:
-                one.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-                continue  # bytes to be read first, or its end
-            except BlockingIOError:
-                pass
-            except OSError:
+            if unread(one.sock) is not None:
                 continue
             self.network.core.counters.add("connections_drained")
             with contextlib.suppress(OSError):
