--- a/tests/test_sip_layers.py
+++ b/tests/test_sip_layers.py
@@ -17,7 +17,7 @@
 from stairhatch.sip.flows import Flow, Networks
 from stairhatch.sip.heads import Head
 from stairhatch.sip.sessions import Due, Lease, Refresher, SessionTimer, TimerPolicy
-from stairhatch.sip.transactions import LAST, Transactions
+from stairhatch.sip.transactions import LAST, T4, Transactions
 
 from .peers import Inside, Line, sip_headers
 
@@ -193,6 +193,58 @@
         table.respond(table.open(other, Kept("10.0.0.7")), 200, "t")
 
 
+class Asked:
+    """Who began a request of ours."""
+
+    def __init__(self):
+        self.told = []
+
+    def provisional(self, status, message):
+        self.told.append(status)
+
+    def final(self, status, message):
+        self.told.append(status)
+
+    def unreachable(self):
+        self.told.append("unreachable")
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "reliable", "kept_s"),
+    [
+        ("INVITE", 200, False, LAST), ("INVITE", 486, False, LAST), ("INVITE", 200, True, LAST),
+        ("INVITE", 486, True, 0), ("BYE", 200, False, T4), ("BYE", 481, True, 0), ("BYE", None, False, LAST),
+        ("INVITE", None, True, LAST),
+    ],
+)  # fmt: skip
+def test_a_request_of_ours_is_known_until_its_time_and_no_longer(method, status, reliable, kept_s):
+    """Guards against requests kept for good, and against copies of an answer that are told twice, or whose
+    ACK is not repeated, since the request went too early (RFC 3261, 17.1.1.2 and 17.1.2.2, RFC 6026, 7.2).
+    """
+    clock, flow, user = Clockwork(), Kept(reliable=reliable), Asked()
+    table = Transactions(clock, 1024 * 1024)
+    lines = sip_headers(method, "7", "z9hG4bKours", "c1")
+    table.begin("z9hG4bKours", method, sip.request(method, "sip:7@net", list(lines.items())), flow, user)
+    if status is None:
+        clock.run(LAST - 0.1)
+        assert table.clients and not user.told
+        clock.run(0.3)
+        assert not table.clients and user.told == [408]
+        clock.run(LAST)
+        assert user.told == [408] and not clock.timers
+        return
+    answer = sip.parse_datagram(sip.response(status, [*lines.items()]))
+    assert table.response(answer) and user.told == [status]
+    acks = [sip.parse_datagram(data) for data in flow.sent if data.startswith(b"ACK")]
+    assert [m.cseq() for m in acks] == ([(7, "ACK")] if method == "INVITE" and status >= 300 else [])
+    for at in (0.0, kept_s - 0.2):
+        clock.run(max(0.0, at))
+        assert bool(table.clients) is (kept_s > 0) is table.response(answer)
+        assert user.told == [status]
+    clock.run(0.3)
+    assert not table.clients and not table.response(answer)
+
+
 @BOUNDED
 @given(st.lists(st.sampled_from(["copy", "ack", "wait", "final", "provisional"]), max_size=12), st.booleans())
 def test_an_invite_has_one_final_answer_whatever_comes(steps, stood):
