Add the load and experiment tool, with rules read off what crossed the sockets

Times count from when a call was due; a tool that was late makes the run void. Callers and servers each record what they saw, and one final answer, one attempt out, the pause, drains, six attempts and releases are read off both records; times are believed as far as the slowest process did not stall. stairhatch load PLAN, stairhatch experiment FILE (sides in turn within each rate, JSON, table, chart).

--- a/stairhatch/cli.py
+++ b/stairhatch/cli.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import json
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -136,6 +138,73 @@
     sys.exit(1 if failed else 0)
 
 
+def _progress(shown: bool, seconds: float) -> Callable[[float], None]:
+    """Show how far a load is, where there is a terminal to show it on."""
+    if not shown:
+        return lambda passed: None
+    return lambda passed: click.echo(f"\r{passed:6.1f} of {seconds:g} s", nl=False, err=True)
+
+
+@main_group.command()
+@click.argument("plan", type=click.Path(path_type=Path))
+@click.option("--udp", default="", help="host:port of a program on this machine to call over UDP")
+@click.option("--tcp", default="", help="host:port of a program on this machine to call over TCP")
+@click.option("--seed", default=1, show_default=True, help="the same seed draws the same calls")
+@click.option(
+    "--workers", default=2, show_default=True, type=click.IntRange(1, 64), help="processes that call"
+)
+@click.option("--json", "as_json", is_flag=True, help="all figures as one JSON object")
+@click.option("--progress", is_flag=True, help="show how far it is")
+def load(plan: Path, udp: str, tcp: str, seed: int, workers: int, as_json: bool, progress: bool) -> None:
+    """Place the calls of PLAN. Without an address the appliance and its roster servers are started for it,
+    and the rules are read off both sides. Exit code 1: a rule was broken, or the run proves nothing.
+    """
+    from stairhatch.load.plan import PlanError, Transport, read_plan
+    from stairhatch.load.report import lines
+    from stairhatch.load.run import LoadError, Setup, run
+
+    named = {Transport.UDP: _place(udp, "--udp"), Transport.TCP: _place(tcp, "--tcp")}
+    try:
+        told = read_plan(plan)
+        places = {transport: place for transport, place in named.items() if place is not None}
+        setup = Setup(told, seed, workers, places)
+        report = run(setup, _progress(progress and sys.stderr.isatty(), told.seconds))
+    except (PlanError, LoadError) as error:
+        click.echo(f"stairhatch: {error}", err=True)
+        sys.exit(2)
+    click.echo(json.dumps(report.figures()) if as_json else lines(report), nl=as_json)
+    sys.exit(1 if report.broken or report.void() else 0)
+
+
+@main_group.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--out", default="experiments", type=click.Path(path_type=Path), show_default=True)
+@click.option(
+    "--short", type=click.FloatRange(0.01, 1.0), help="this part of each run's time, and one repeat"
+)
+def experiment(file: Path, out: Path, short: float | None) -> None:
+    """Carry out the experiment that FILE describes; keep every run as JSON, a table and a chart under --out.
+    Exit code 1: a rule was broken, or a run proves nothing.
+    """
+    from stairhatch.load.experiment import carry_out, keep, read_experiment, smaller
+    from stairhatch.load.plan import PlanError
+    from stairhatch.load.report import run_line
+    from stairhatch.load.run import LoadError
+
+    try:
+        told = read_experiment(file)
+        told = smaller(told, short) if short is not None else told
+        runs = carry_out(told, lambda run, done, of: click.echo(run_line(run, done, of)))
+        where = keep(
+            told, runs, out, f"stairhatch experiment {file.name}" + (f" --short {short}" if short else "")
+        )
+    except (PlanError, LoadError) as error:
+        click.echo(f"stairhatch: {error}", err=True)
+        sys.exit(2)
+    click.echo(f"kept in {where}")
+    sys.exit(1 if any(each.broken or each.figures["void"] for each in runs) else 0)
+
+
 @main_group.group()
 def users() -> None:
     """Who may call: a file of hashes, named by `sip.auth.users`."""
--- /dev/null
+++ b/stairhatch/load/rosters.py
@@ -0,0 +1,106 @@
+"""The stand-in roster servers of a load, in a process of their own: owns what happens to which of them when,
+and the record of what they were sent and said.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta, Struct
+
+from stairhatch.load.clock import Stall
+from stairhatch.standin.processor import Nature, Processor, State
+from stairhatch.standin.roster import StandIn
+
+LINES = 100_000
+
+
+class Trouble(Struct, forbid_unknown_fields=True, frozen=True):
+    """Something that happens to a server."""
+
+    at: Annotated[float, Meta(ge=0, le=86_400)]
+    server: Annotated[int, Meta(ge=0, le=255)]
+    what: Literal["slow", "hang", "recover", "cold", "drain", "down", "up"]
+    times: Annotated[float, Meta(gt=0, le=1000)] = 3.0  # slower
+
+
+class RosterPlan(Struct, forbid_unknown_fields=True, frozen=True):
+    """The servers of a load."""
+
+    count: Annotated[int, Meta(ge=1, le=64)] = 2
+    set_up_ms: Annotated[float, Meta(gt=0, le=60_000)] = 1.0  # work of a set-up
+    longest_wait_s: Annotated[float, Meta(gt=0, le=60)] = 3.0
+    trouble: tuple[Trouble, ...] = ()
+
+
+class Rosters:
+    """The servers at work."""
+
+    def __init__(self, plan: RosterPlan, seed: int) -> None:
+        self.plan = plan
+        self.record: list[tuple[float, str, str, str]] = []  # time, what, number called, server
+        self.stall = Stall()
+        nature = Nature(set_up_s=plan.set_up_ms / 1000, longest_wait_s=plan.longest_wait_s)
+        self.servers = [
+            StandIn(lines=LINES, processor=Processor(nature, random.Random(seed * 31 + index)))
+            for index in range(plan.count)
+        ]
+        for index, server in enumerate(self.servers):
+            server.seen = self._seen(f"r{index}")
+
+    def _seen(self, name: str) -> Any:
+        def seen(what: str, number: str) -> None:
+            self.record.append((time.monotonic(), what, number, name))
+
+        return seen
+
+    async def open(self) -> list[int]:
+        """Their ports."""
+        return [(await server.listen()).place[1] for server in self.servers]
+
+    async def run(self, begin: float) -> None:
+        """Carry out the troubles, and watch how late this process notes what comes."""
+        self.watching = asyncio.create_task(self.stall.watch())
+        for trouble in sorted(self.plan.trouble, key=lambda each: each.at):
+            await asyncio.sleep(max(0.0, begin + trouble.at - time.monotonic()))
+            if trouble.server < len(self.servers):
+                await self._strike(trouble, self.servers[trouble.server])
+
+    async def _strike(self, trouble: Trouble, server: StandIn) -> None:
+        processor = server.processor
+        assert processor is not None
+        now = asyncio.get_running_loop().time()
+        match trouble.what:
+            case "slow":
+                processor.slow = trouble.times
+            case "hang":
+                processor.hang(now)
+            case "recover":
+                processor.slow = 1.0
+                processor.recover(now)
+            case "cold":
+                server.cut()
+                processor.start_cold(now)
+            case "drain":
+                processor.state = State.DRAINING
+            case "down":
+                await server.close()
+                processor.state = State.GONE
+            case "up":
+                processor.start_cold(now)
+                await server.listen(*server.place)
+
+    def told(self) -> dict[str, Any]:
+        """What the process writes out at its end."""
+        processors = [each.processor for each in self.servers if each.processor is not None]
+        return {
+            "record": self.record,
+            "stalled_s": self.stall.longest_s,
+            "servers": [
+                {"state": each.state.value, "turned_away": each.turned_away, "wasted_s": each.wasted_s}
+                for each in processors
+            ],
+        }
--- a/stairhatch/standin/caller.py
+++ b/stairhatch/standin/caller.py
@@ -15,6 +15,7 @@
 from stairhatch.sip import message as sip
 
 T1, T2, MOST_COPIES = 0.5, 4.0, 7
+RECONNECTS, RECONNECT_S = 50, 0.1
 OFFER = (
     b"v=0\r\no=office 1 1 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\n"
     b"m=audio 30000 RTP/AVP 8\r\n"
@@ -44,12 +45,20 @@
     copies: int = 0
     rang: bool = False
     end: End | None = None
+    return_s: float | None = None  # when a refusal told it to return
+    vanished: bool = False  # its caller is gone without a word
     to: str = ""
     target: str = ""
     bye: bytes = b""
     over: bool = False
 
 
+def seconds(text: str) -> float | None:
+    """Retry-After's seconds (RFC 3261, 20.33); None where it names none."""
+    digits = text.partition(";")[0].partition("(")[0].strip()
+    return float(digits) if digits.isdecimal() and len(digits) < 10 else None
+
+
 class Caller(asyncio.DatagramProtocol, asyncio.Protocol):
     """One office: a UDP port or a TCP connection, with any number of calls."""
 
@@ -63,6 +72,10 @@
         self._parser = sip.StreamParser()
         self._serial = 0
         self._send: Callable[[bytes], None] = lambda data: None
+        self.via = ""  # what its Via says beside branch and rport
+        self.heard: Callable[[sip.Message], None] = lambda message: None  # each final answer to an INVITE
+        # For whoever checks: what was asked, answered or ended, the status and what tells answers apart.
+        self.seen: Callable[[str, Placed, int, str], None] = lambda what, call, status, text: None
 
     @classmethod
     async def over_udp(cls, place: tuple[str, int], name: str, seed: int, kind: str = "") -> Caller:
@@ -111,6 +124,25 @@
         """Give up the port or connection."""
         self.transport.close()
 
+    async def reconnect(self, place: tuple[str, int]) -> None:
+        """Lose the connection without a word and open another. What was being set up is given up; what stands
+        goes on by the new one.
+        """
+        for call in [each for each in self.calls.values() if each.end is None]:
+            self.vanish(call)
+        self.transport.abort()
+        while not self.lost:
+            await asyncio.sleep(0)
+        self._parser = sip.StreamParser()
+        for _ in range(RECONNECTS):
+            try:
+                await self.loop.create_connection(lambda: self, *place)
+            except OSError:
+                await asyncio.sleep(RECONNECT_S)
+                continue
+            self.lost = False
+            return
+
     # calls
 
     def place(
@@ -122,6 +154,7 @@
         call.branch = f"z9hG4bK{self.name}.{self._serial}"
         call.data = self._request(call, "INVITE", 1, call.branch, OFFER)
         self.calls[call.ident] = call
+        self.seen("asked", call, 0, "")
         self._send(call.data)
         if self.udp:
             self.loop.call_later(T1, self._copy, call, T1)
@@ -130,12 +163,23 @@
 
     def cancel(self, call: Placed) -> None:
         """Give a call up before its answer."""
-        self._send(self._request(call, "CANCEL", 1, call.branch))
+        if call.end is None and not call.vanished:
+            self.seen("hung up", call, 0, "")
+            self._send(self._request(call, "CANCEL", 1, call.branch))
+
+    def vanish(self, call: Placed) -> None:
+        """Its caller is gone: nothing more is sent, and what comes for it is not answered."""
+        if call.end is None:
+            self.seen("vanished", call, 0, "")
+            call.vanished = call.over = True
+            self._ended(call, End.UNHEARD, 0)
+            self.calls.pop(call.ident, None)
 
     def hang_up(self, call: Placed) -> None:
         """End a call that stands."""
         if call.end is End.STOOD and not call.over:
             call.over = True
+            self.seen("hung up", call, 0, "")
             call.bye = self._request(call, "BYE", 2, call.branch + "b")
             self.counts["byes_sent"] += 1
             self._send(call.bye)
@@ -146,7 +190,7 @@
     def _request(self, call: Placed, method: str, cseq: int, branch: str, body: bytes = b"") -> bytes:
         way = "" if self.udp else ";transport=tcp"
         headers = [
-            ("via", f"SIP/2.0/{'UDP' if self.udp else 'TCP'} {self.host};branch={branch};rport"),
+            ("via", f"SIP/2.0/{'UDP' if self.udp else 'TCP'} {self.host};branch={branch};rport{self.via}"),
             ("max-forwards", "70"),
             ("from", f"<sip:{self.name}@{self.host}>;tag={self.name}.{call.ident.split('@')[0]}"),
             ("to", call.to or f"<sip:{call.number}@softswitch>"),
@@ -162,7 +206,7 @@
         return sip.request(method, call.target or f"sip:{call.number}@softswitch", headers, body)
 
     def _copy(self, call: Placed, gap: float) -> None:
-        if call.end is None and not call.rang and call.copies < MOST_COPIES:
+        if call.end is None and not call.rang and not call.vanished and call.copies < MOST_COPIES:
             call.copies += 1
             self.counts["copies"] += 1
             self._send(call.data)
@@ -191,6 +235,7 @@
                 self._send(sip.response(200 if call is not None else 481, sip.echoed(message)))
             if message.method == "BYE" and call is not None:
                 self.counts["byes_heard"] += 1
+                self.seen("told end", call, 0, "")
                 call.over = True
                 self.calls.pop(call.ident, None)
             return
@@ -208,6 +253,8 @@
 
     def _answered(self, call: Placed, message: sip.Message) -> None:
         call.to = message.get("to")
+        self.heard(message)
+        self.seen("final", call, message.status, message.get("to") + message.body.decode("utf-8", "replace"))
         if message.status < 300:
             contact = message.get("contact")
             call.target = contact[contact.find("<") + 1 : contact.find(">")] or call.target
@@ -218,5 +265,6 @@
             return
         self._send(self._request(call, "ACK", 1, call.branch))
         if call.end is None:
+            call.return_s = seconds(message.get("retry-after"))
             self._ended(call, End.REFUSED if message.status == 503 else End.FAILED, message.status)
         self.loop.call_later(T2, self.calls.pop, call.ident, None)
--- a/stairhatch/standin/roster.py
+++ b/stairhatch/standin/roster.py
@@ -1,5 +1,6 @@
 """A stand-in roster server on a socket: speaks the JSON lines of its side and does with each call what
-`behaviour` says. It must never outlive `close`, and records what it was told for whoever checks.
+`behaviour` says, or what its processor can bear where it has one. It must never outlive `close`, and records
+what it was told for whoever checks.
 """
 
 from __future__ import annotations
@@ -9,12 +10,18 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from stairhatch.standin.behaviour import Say, script_for
+from stairhatch.standin.behaviour import FULL, Say, ends, script_for, stands
+from stairhatch.standin.processor import Processor, Verdict
 
 STATE_S = 0.4  # how often its state is told
 SIZE = 64  # of its lines
 
 
+def told(wait_s: float, rate: float) -> str:
+    """A processor's part of a report."""
+    return f"mean_ms:{1000 * wait_s:.1f};can_take:{rate:.2f}"
+
+
 class Link(asyncio.Protocol):
     """One connection of a softswitch."""
 
@@ -36,7 +43,8 @@
         """Tell the server's state, now and then again."""
         if not self.closed:
             lines, open_now = self.server.lines, len(self.server.open)
-            load = f"free:{max(0, lines - open_now)};size:{lines};mean_ms:1;can_take:500"
+            wait_s, rate = (0.001, 500.0) if self.server.processor is None else self.server.told_load()
+            load = f"free:{max(0, lines - open_now)};size:{lines};{told(wait_s, rate)}"
             self.say({"verb": "LOAD", "tag": "", "opts": {"load": load}})
             asyncio.get_running_loop().call_later(STATE_S, self.state)
 
@@ -55,8 +63,17 @@
 class StandIn:
     """One roster server. `script` gives what is said to a set-up for a number."""
 
-    def __init__(self, script: Callable[[str], tuple[Say, ...]] = script_for, lines: int = SIZE) -> None:
-        self.script, self.lines = script, lines
+    def __init__(
+        self,
+        script: Callable[[str], tuple[Say, ...]] = script_for,
+        lines: int = SIZE,
+        processor: Processor | None = None,
+    ) -> None:
+        self.script, self.lines, self.processor = script, lines, processor
+        # For whoever checks: what a call's number was sent, answered or ended with.
+        self.seen: Callable[[str, str], None] = lambda what, number: None
+        self.numbers: dict[str, str] = {}  # of the calls that are open
+        self._due: asyncio.TimerHandle | None = None
         self.place: tuple[str, int] = ("127.0.0.1", 0)
         self.open: dict[str, Link] = {}
         self.links: set[Link] = set()
@@ -74,9 +91,24 @@
         """End at once."""
         if self._server is not None:
             self._server.close()
+        if self._due is not None:
+            self._due.cancel()
+        self.cut()
+
+    def cut(self) -> None:
+        """Every connection ends, as where its process dies; what was open on them is lost."""
         for link in list(self.links):
             link.closed = True
-            link.transport.close()
+            link.transport.abort()
+        for number in self.numbers.values():
+            self.seen("broke", number)
+        self.open.clear()
+        self.numbers.clear()
+
+    def told_load(self) -> tuple[float, float]:
+        """Wait in seconds and rate, as the processor reports them."""
+        assert self.processor is not None
+        return self.processor.told(asyncio.get_running_loop().time())
 
     def told(self, link: Link, message: dict[str, Any]) -> None:
         """A line has come."""
@@ -85,13 +117,46 @@
             case "START":
                 self.set_ups += 1
                 self.open[tag] = link
-                for each in self.script(message["opts"].get("key", "")):
+                number = self.numbers[tag] = message["opts"].get("key", "")
+                self.seen("set-up", number)
+                if self.processor is not None:
+                    self._bear(tag, self.processor)
+                    return
+                for each in self.script(number):
                     if each.after_s:
                         asyncio.get_running_loop().call_later(each.after_s, self._say, tag, each)
                     else:
                         self._say(tag, each)
             case "FINISH":
-                self.released += self.open.pop(tag, None) is not None
+                known = self.open.pop(tag, None) is not None
+                self.released += known
+                if known:
+                    self.seen("given up", self.numbers.pop(tag, ""))
+                if self.processor is not None:
+                    self.processor.release(asyncio.get_running_loop().time(), tag)
+                    self._look()
+
+    def _bear(self, tag: str, processor: Processor) -> None:
+        """A set-up meets the processor."""
+        match processor.offer(asyncio.get_running_loop().time(), tag):
+            case Verdict.TURNED_AWAY:
+                self._say(tag, ends(0.0, FULL))
+            case Verdict.DOWN:
+                self.cut()
+        self._look()
+
+    def _look(self) -> None:
+        """Answer what is done, and look again when the next is."""
+        processor, loop = self.processor, asyncio.get_running_loop()
+        if processor is None:
+            return
+        for tag in processor.done(loop.time()):
+            self._say(tag, stands())
+        if self._due is not None:
+            self._due.cancel()
+            self._due = None
+        if (due := processor.next_due()) is not None:
+            self._due = loop.call_at(due, self._look)
 
     def _say(self, tag: str, what: Say) -> None:
         link = self.open.get(tag)
@@ -99,10 +164,16 @@
             return  # it was given up
         if what.verb == "FINISH":
             del self.open[tag]
+            self.seen("refused" if what.cause != 16 else "ended", self.numbers.pop(tag, ""))
+        if what.verb == "STARTED":
+            self.seen("stood", self.numbers.get(tag, ""))
         self.stood += what.verb == "STARTED"
         line: dict[str, Any] = {"verb": what.verb, "tag": tag, "opts": dict(what.opts)}
         if what.verb == "FINISH":
             line["rc"] = what.cause
+            if self.processor is not None:
+                wait_s, rate = self.told_load()
+                line["opts"] = {"note": "overload", "load": told(wait_s, rate)}
         if what.verb == "STARTED":
             line["blob"] = what.blob
         link.say(line)
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,331 @@
+"""The load tool: calls drawn from a seed, what callers and roster servers do, rules read off a record, and
+short runs against the real program.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from stairhatch.load import experiment as exp
+from stairhatch.load.habit import Throttle, Try, redial_after
+from stairhatch.load.plan import (
+    Due,
+    Habits,
+    Kind,
+    Office,
+    PlanError,
+    Transport,
+    calls,
+    offices,
+    plan_from,
+    read_plan,
+)
+from stairhatch.load.rosters import RosterPlan, Trouble
+from stairhatch.load.rules import Checker, Seen, What
+from stairhatch.load.run import LoadError, Order, Setup, on_this_machine, run
+from stairhatch.load.tally import Tally
+from stairhatch.load.weather import Way, Weather
+from stairhatch.standin.processor import PER_CALL, Nature, Processor, State, Verdict
+
+from .peers import ROOT
+
+KINDS = [
+    {"name": "read-roster", "share": 0.75, "number": "1000", "hold_s": 0.5},
+    {"name": "save-roster", "share": 0.25, "number": "7000", "hold_s": 0.5, "worth": 3.0, "late_worth": 0.1},
+]
+
+
+def load(**more):
+    return plan_from({"phase": [{"seconds": 20.0, "rate": 50.0}], "kind": KINDS, "offices": 6, **more})
+
+
+# ---- when calls are due ----
+
+
+def test_the_same_seed_draws_the_same_calls_however_many_processes_place_them():
+    """Guards against a load that changes with the machine it runs on."""
+    plan = load()
+    whole = list(calls(plan, 3))
+    parts = [due for worker in range(4) for due in calls(plan, 3, worker, 4)]
+    assert sorted(parts, key=lambda due: due.serial) == whole and whole != list(calls(plan, 4))
+    assert [due.serial for due in whole] == list(range(len(whole)))
+    assert (
+        900 < len(whole) < 1100 and 0.2 < sum(d.kind.name == "save-roster" for d in whole) / len(whole) < 0.3
+    )
+
+
+def test_ramps_days_and_bursts_change_the_rate_where_they_say():
+    """Guards against a load that is another than its file tells."""
+    phases = [
+        {"seconds": 10, "rate": 10, "to_rate": 30},
+        {"seconds": 10, "rate": 10, "to_rate": 30, "day": True},
+    ]
+    plan = load(phase=phases, burst=[{"at": 4, "seconds": 2, "times": 3}])
+    assert [plan.rate(at) for at in (0, 3, 5, 10, 15, 20)] == [10, 16, 60, 10, 30, 0]
+    assert plan.most() >= max(plan.rate(at / 10) for at in range(200))
+    inside = [due.at for due in calls(plan, 1) if 4 <= due.at < 6]
+    assert 80 < len(inside) < 150
+
+
+def test_offices_have_their_habits_in_the_shares_told():
+    """Guards against a share that rounds away: one office in ten that lies is one of ten."""
+    found = offices(load(offices=10, tcp=0.3, habits={"oc": 0.4, "oc_lies": 0.1, "obeys": 0.5}))
+    assert sum(each.transport is Transport.TCP for each in found) == 3
+    assert sum(each.oc for each in found) == 5 and sum(each.oc_lies for each in found) == 1
+    assert sum(each.obeys for each in found) == 5 and all(each.oc for each in found if each.oc_lies)
+    heavy = list(calls(load(offices=10, heavy=20.0), 1))
+    assert 0.6 < sum(due.office == 0 for due in heavy) / len(heavy) < 0.78
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        ("offices = 0", "offices"), ("phase = []", "phase"),
+        ("[[phase]]\nseconds = 1\nrate = -1", r"phase\[0\].rate"),
+        ("[[phase]]\nseconds = 1\nrate = 1\nwarp = 9", "warp"), ("x = ", "Invalid value"),
+        ('[[phase]]\nseconds = 1\nrate = 1\n[[kind]]\nname = "a"\nshare = 0.5\nnumber = "1"', "shares"),
+        ("[[phase]]\nseconds = 1\nrate = 1\n[habits]\noc = 0.7\noc_lies = 0.7", "oc_lies"),
+    ],
+)  # fmt: skip
+def test_a_file_that_cannot_be_used_is_told_by_its_place(tmp_path, text, place):
+    """Guards against a mistyped key that changes the load without a word."""
+    path = tmp_path / "x.toml"
+    path.write_text(text)
+    with pytest.raises(PlanError, match=place) as error:
+        read_plan(path)
+    assert str(path) in str(error.value)
+
+
+# ---- callers ----
+
+KIND = Kind("read-roster", 1.0, "1000")
+DUE = Due(0.0, 0, 0, KIND, 1.0, False, False)
+
+
+@pytest.mark.parametrize(
+    ("tries", "return_s", "obeys", "least", "most"),
+    [(1, None, True, 0, 9), (1, 3.0, True, 3.0, 3.3), (1, 3.0, False, 0, 9), (3, None, True, None, None),
+     (1, 60.0, True, None, None)],
+)  # fmt: skip
+def test_a_refused_caller_returns_when_it_is_told_or_not_at_all(tries, return_s, obeys, least, most):
+    """Guards against callers kinder or ruder than their share says."""
+    office, chance = Office(0, Transport.UDP, obeys, False, False), random.Random(5)
+    wait = redial_after(Try(DUE, 100.0, tries), 100.2, return_s, office, Habits(redials=2), chance)
+    assert (wait is None) is (least is None)
+    assert wait is None or least <= wait <= most
+
+
+def test_overload_control_holds_for_its_time_and_an_older_word_counts_for_nothing():
+    """Guards against a caller that never sends again, or obeys what was overtaken (RFC 7339, 5.5)."""
+    chance = random.Random(1)
+    good = Throttle(Office(0, Transport.UDP, True, True, False))
+    assert good.may_send(100.0, chance)
+    good.told(100.0, 50.0, "loss", 1000.0, 2.0)
+    good.told(100.1, 100.0, "loss", 9000.0, 1.0)
+    sent = sum(good.may_send(100.5, chance) for _ in range(400))
+    assert 150 < sent < 250 and good.held == 400 - sent and good.may_send(101.1, chance)
+    good.told(102.0, 10.0, "rate", 5000.0, 3.0)
+    assert 29 <= sum(good.may_send(102.0 + n / 100, chance) for n in range(300)) <= 32
+    liar, deaf = (
+        Throttle(Office(0, Transport.UDP, True, oc, lies)) for oc, lies in ((True, True), (False, False))
+    )
+    for each in (liar, deaf):
+        each.told(100.0, 100.0, "loss", 9000.0, 1.0)
+        assert each.may_send(100.1, chance)
+
+
+# ---- roster servers ----
+
+
+def test_a_processor_answers_in_turn_turns_away_past_its_wait_and_tells_both():
+    """Guards against stand-ins that bear any load at once, before which overload never shows."""
+    processor = Processor(Nature(set_up_s=0.1, longest_wait_s=1.0, noise=0.0, resend_s=0), random.Random(1))
+    verdicts = [processor.offer(100.0, f"c{n}") for n in range(20)]
+    queued = verdicts.count(Verdict.QUEUED)
+    assert 7 <= queued <= 9 and verdicts[queued:] == [Verdict.TURNED_AWAY] * (20 - queued)
+    assert processor.turned_away == 20 - queued and processor.wasted_s > 0
+    answered = []
+    while (due := processor.next_due()) is not None:
+        answered += processor.done(due)
+    assert answered == [f"c{n}" for n in range(queued)]
+    wait, rate = processor.told(100.0)
+    assert wait > 1.0 and rate == pytest.approx(10 / PER_CALL)
+    assert processor.told(100.1) == (wait, rate), "reports are refreshed now and then"
+    assert processor.told(200.0)[0] == 0.0
+
+
+def test_what_was_given_up_is_worked_on_and_not_answered():
+    """Guards against a stand-in to which a CANCEL is free."""
+    processor = Processor(Nature(set_up_s=0.1, resend_s=0), random.Random(1))
+    processor.offer(100.0, "a")
+    processor.offer(100.0, "b")
+    processor.release(100.01, "a")
+    assert processor.done(101.0) == ["b"] and processor.wasted_s == pytest.approx(0.1)
+
+
+@pytest.mark.parametrize(("rate", "falls"), [(2.0, False), (12.0, True)])
+def test_a_cold_server_that_gets_too_much_falls_and_stays_down(rate, falls):
+    """Guards against a stand-in that forgives what the fourth rule forbids; set-ups it turns away count."""
+    processor = Processor(Nature(set_up_s=0.1, cold_from=0.3, warm_after_s=14.0), random.Random(1))
+    processor.start_cold(100.0)
+    verdicts = [processor.offer(100.0 + n / rate, f"c{n}") for n in range(int(3 * rate))]
+    assert (processor.state is State.FALLEN) is falls is (Verdict.DOWN in verdicts)
+    processor.recover(200.0)
+    assert (processor.offer(200.0, "x") is Verdict.DOWN) is falls
+
+
+def test_a_hung_server_takes_and_answers_nothing_and_forgets_it_all():
+    """Guards against a silence that ends in a burst of answers to calls long given up."""
+    processor = Processor(Nature(set_up_s=0.1), random.Random(1))
+    processor.hang(100.0)
+    assert processor.offer(100.0, "a") is Verdict.SWALLOWED and processor.next_due() is None
+    processor.recover(105.0)
+    assert processor.offer(105.0, "b") is Verdict.QUEUED and processor.done(106.0) == ["b"]
+
+
+def test_the_weather_of_a_seed_is_the_same_and_a_loss_moves_no_other():
+    """Guards against runs that can't be repeated."""
+    clear, rough = Weather(delay_ms=5.0), Weather(loss=0.2, copies=0.1, delay_ms=5.0, late=0.1, late_ms=100.0)
+    ways = [Way(weather, random.Random(9)) for weather in (rough, rough, clear)]
+    told = [[way.fate() for _ in range(2000)] for way in ways]
+    assert told[0] == told[1] and set(told[2]) == {(0.005,)} and clear.clear is False and Weather().clear
+    assert 340 < told[0].count(()) < 460 and 120 < ways[0].copied < 220 and 120 < ways[0].late < 220
+    drier = Way(Weather(loss=0.1, copies=0.1, delay_ms=5.0, late=0.1, late_ms=100.0), random.Random(9))
+    assert all(
+        other in ((), one) for one, other in zip((drier.fate() for _ in range(2000)), told[0], strict=True)
+    )
+
+
+# ---- the rules ----
+
+KEPT = [
+    Seen(0.0, What.ASKED, "c"), Seen(0.1, What.SET_UP, "c", "r0"), Seen(0.5, What.GIVEN_UP, "c", "r0"),
+    Seen(1.1, What.SET_UP, "c", "r1"), Seen(1.2, What.REFUSED, "c", "r1"), Seen(1.21, What.SET_UP, "c", "r0"),
+    Seen(1.3, What.STOOD, "c", "r0"), Seen(1.31, What.FINAL, "c", value=200, text="a"),
+    Seen(1.9, What.FINAL, "c", value=200, text="a"), Seen(5.0, What.HUNG_UP, "c"),
+    Seen(5.01, What.GIVEN_UP, "c", "r0"),
+]  # fmt: skip
+
+
+def changed(*without, more=()):
+    return [each for index, each in enumerate(KEPT) if index not in without] + list(more)
+
+
+@pytest.mark.parametrize(
+    ("story", "rules"),
+    [
+        (KEPT, []),
+        (changed(7, 8, 9, 10), ["answer"]),
+        (changed(more=[Seen(2.0, What.FINAL, "c", value=503, text="b")]), ["answer"]),
+        (changed(more=[Seen(2.0, What.FINAL, "c", value=200, text="b")]), ["answer"]),
+        (changed(0), ["answer"]),
+        (changed(2), ["one attempt"]),
+        (changed(3, 4, more=[Seen(0.8, What.SET_UP, "c", "r1"), Seen(0.9, What.REFUSED, "c", "r1")]),
+         ["pause"]),
+        (changed(10), ["release"]),
+        (changed(9, 10, more=[Seen(1.25, What.VANISHED, "c")]), ["release"]),
+        (changed(9, 10, more=[Seen(1.25, What.VANISHED, "c"), Seen(33.4, What.GIVEN_UP, "c", "r0")]), []),
+        (changed(9, 10, more=[Seen(5.0, What.ENDED, "c", "r0")]), ["release"]),
+        (changed(9, 10, more=[Seen(5.0, What.ENDED, "c", "r0"), Seen(5.1, What.TOLD_END, "c")]), []),
+        (changed(more=[Seen(0.0, What.TOLD_DRAIN, "", "r1")]), ["drain"]),
+        (changed(more=[Seen(0.3, What.TOLD_DRAIN, "", "r1")]), []),
+        (changed(more=[Seen(1.2 + n / 1000, w, "c", "r1") for n in range(1, 5)
+                       for w in (What.SET_UP, What.REFUSED)]), ["attempts"]),
+    ],
+)  # fmt: skip
+def test_each_rule_is_read_off_the_record_and_no_other(story, rules):
+    """Guards against a checker that passes everything, or calls one thing by another's name."""
+    assert [each.rule for each in Checker(60.0).check(list(story))] == rules
+    assert Checker(1.25).check(KEPT[:3]) == [], "a call that is under way owes nothing yet"
+
+
+# ---- what came of it ----
+
+
+def test_tallies_add_up_and_a_tool_that_was_late_proves_nothing():
+    """Guards against figures of a load that was never brought."""
+    one, two = Tally(), Tally()
+    for tally, count, late_s in ((one, 300, 0.001), (two, 10, 0.4)):
+        for number in range(count):
+            tally.asked(KIND, number / 10, late_s)
+            tally.ended(KIND, number / 10, "stood", 0.2 if number % 2 else 2.0)
+    assert not one.void() and "late" in two.void() and Tally().void()
+    whole = Tally()
+    for each in (one, two):
+        whole.add(json.loads(json.dumps(each.told())))
+    assert whole.counts["asked"] == 310 and whole.worth == 310 and whole.earned == 155 and whole.void()
+    assert whole.figures(30.0)["in_time_a_second"] == pytest.approx(155 / 30)
+    assert whole.figures(30.0)["stood_p99_ms"] == pytest.approx(2000, rel=0.02)
+
+
+# ---- on sockets ----
+
+
+def test_a_load_over_a_bad_way_with_a_server_that_hangs_breaks_no_rule():
+    """Guards against the rules under loss, copies, a hung server, cut connections and a reload at once. What
+    the machine can bear is not judged here: only the rules are, and that calls stood.
+    """
+    plan = load(
+        phase=[{"seconds": 6.0, "rate": 40.0}], tcp=0.34, cuts=[3.0],
+        habits={"vanish": 0.05, "cancels": 0.05, "cancel_s": 0.3, "oc": 0.3, "oc_lies": 0.2},
+    )  # fmt: skip
+    rosters = RosterPlan(
+        count=2, set_up_ms=5.0, trouble=(Trouble(1.0, 0, "hang"), Trouble(4.0, 0, "recover"))
+    )
+    weather = Weather(loss=0.1, copies=0.1, jitter_ms=5.0)
+    orders = (Order(2.0, signal.SIGHUP), Order(2.5, signal.SIGUSR1))
+    report = run(Setup(plan, 2, 2, rosters=rosters, weather=weather, orders=orders))
+    assert report.checked and [each.line() for each in report.broken] == []
+    assert report.tally.counts["stood"] > 50 and report.program["counters"]["reloads"] == 1
+
+
+def test_the_command_tells_a_load_that_cannot_be_run(tmp_path):
+    """Guards against load sent to another machine, and against an exit code that hides a fault."""
+    path = tmp_path / "load.toml"
+    path.write_text("[[phase]]\nseconds = 1\nrate = 1\n")
+    command = [sys.executable, "-m", "stairhatch", "load", str(path)]
+    done = subprocess.run([*command, "--udp", "192.0.2.1:5060"], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 2 and "no load goes elsewhere" in done.stderr
+    with pytest.raises(LoadError):
+        on_this_machine(("example.org", 5060))
+    done = subprocess.run([*command, "--tcp", "127.0.0.1:9"], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 2 and "over udp" in done.stderr
+
+
+def test_an_experiment_takes_sides_in_turn_and_keeps_every_run(tmp_path):
+    """Guards against sides that meet different calls, and against void runs that vanish from the table."""
+    path = tmp_path / "e.toml"
+    path.write_text(
+        'name = "two"\nrates = [10, 20]\nseconds = 2\nrepeats = 2\n'
+        '[[side]]\nname = "a"\n[[side]]\nname = "b"\n'
+        "[load]\noffices = 2\n[[load.phase]]\nseconds = 1\nrate = 1\n"
+    )
+    told = exp.read_experiment(path)
+    assert [(r, n, s.name) for r, n, s in exp.order(told)][:4] == [
+        (10, 0, "a"), (10, 0, "b"), (10, 1, "b"), (10, 1, "a"),
+    ]  # fmt: skip
+    drawn = []
+
+    def one(setup):
+        drawn.append((setup.seed, setup.plan.rate(1.0)))
+        tally = Tally()
+        for due in calls(setup.plan, setup.seed):
+            tally.asked(due.kind, due.at, 0.5 if len(drawn) == 1 else 0.0)
+            tally.ended(due.kind, due.at, "stood", 0.1)
+        from stairhatch.load.run import Report
+
+        return Report(tally, setup.plan.seconds, [], [], {}, True)
+
+    runs = exp.carry_out(told, one=one)
+    assert len(runs) == 8 and drawn[0] == drawn[1] == (1, 10) and drawn[2] == (2, 10)
+    where = exp.keep(told, runs, tmp_path / "out", "a command")
+    text = (where / "table.md").read_text()
+    assert "Void runs: 1 of 8" in text and "| 20 | b |" in text
+    assert len(json.loads((where / "experiment.json").read_text())["runs"]) == 8
+    assert (where / "chart.svg").read_text().startswith("<?xml")
