Let imports run one way: messages below both fronts, the leg's front as a protocol

Need: sip/front.py and sip/leg.py imported each other, __main__.py and cli.py too, and node/trunk_front.py reached up into sip/: none of them could be read or moved alone.

No line that runs on the platform has changed beyond its place.

--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -6,26 +6,10 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
-from collections.abc import Callable
 
-import uvloop
-
-from stairhatch.config import Config, ConfigError
 from stairhatch.config.platform import read_platform
-from stairhatch.service import run
-
-
-def serve(reread: Callable[[], Config]) -> int:
-    """Run the softswitch; a configuration that can't be used ends in one plain line and exit code 2."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what comes before the start is over is read anyway
-    try:
-        uvloop.run(run(reread(), reread))
-    except ConfigError as error:
-        print(f"stairhatch: {error}", file=sys.stderr)
-        return 2
-    return 0
+from stairhatch.start import serve
 
 
 def main() -> int:
--- a/stairhatch/cli.py
+++ b/stairhatch/cli.py
@@ -18,7 +18,7 @@
 
 
 def _serve(file: str) -> int:
-    from stairhatch.__main__ import serve
+    from stairhatch.start import serve
 
     return serve(lambda: read_appliance(file, dict(os.environ)))
 
--- a/stairhatch/conform/faults.py
+++ b/stairhatch/conform/faults.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, cast
 
+from stairhatch.node import message as sip
 from stairhatch.sip import auth, dialogs, flows, front, grammar, heads, leg, sessions, transactions
-from stairhatch.sip import message as sip
 
 Change = tuple[Any, str, Any]
 
--- a/stairhatch/conform/run.py
+++ b/stairhatch/conform/run.py
@@ -13,8 +13,8 @@
 
 from stairhatch.conform.cases import Case
 from stairhatch.conform.stage import Stage, Wire, messages
+from stairhatch.node import message as sip
 from stairhatch.sip import auth, grammar
-from stairhatch.sip import message as sip
 
 USER, PASSWORD, REALM = "office", "a long word", "stairhatch"  # where a case needs one that may call
 OFFER = (
--- a/stairhatch/conform/stage.py
+++ b/stairhatch/conform/stage.py
@@ -16,8 +16,8 @@
 from typing import Any, Protocol
 
 from stairhatch.interface import CallClass, Report, Safety, Settings, Standing
+from stairhatch.node import message as sip
 from stairhatch.node.core import Attempt, Core, Counters, Listing, Server
-from stairhatch.sip import message as sip
 from stairhatch.sip.flows import SipConnection
 from stairhatch.sip.front import Listener, SipConfig, SipFront
 from stairhatch.standin.behaviour import Say, script_for
--- a/stairhatch/sip/message.py
+++ b/stairhatch/node/message.py
@@ -392,3 +392,25 @@
     """The headers that every response repeats (RFC 3261, 8.2.6)."""
     wanted = ("via", "from", "to", "call-id", "cseq")
     return [(name, value) for name, value in message.headers if name in wanted]
+
+
+# ---- what both fronts read alike ----
+
+NORMAL = 16  # the Q.850 cause of a call that has come to its end
+
+
+def called_number(key: str) -> int:
+    """The number called, as the decisions want it: 16 hex digits, else 0."""
+    try:
+        return int(key, 16) if len(key) == 16 else 0
+    except ValueError:
+        return 0
+
+
+def release_cause(message: Message) -> int:
+    """The cause in a Reason header; 16 where it says nothing."""
+    for value in message.all("reason"):
+        cause = parameters(value).get("cause", "")
+        if value.lower().startswith("q.850") and cause.isascii() and cause.isdigit():
+            return min(127, int(cause))
+    return NORMAL
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass, field
 from functools import lru_cache, partial
 
+from stairhatch.node import message as sip
 from stairhatch.node import roster
-from stairhatch.node.core import AWAY_S, ENDED, Call, Core, Machine, Offer
-from stairhatch.sip import message as sip
+from stairhatch.node.core import AWAY_S, Call, Core, Machine, Offer
+from stairhatch.node.message import called_number, release_cause
 
 MOST_OUTPUT = 128 * 1024  # a caller that reads so much too slowly is cut off
 RELEASE_KEPT_S = 30.0  # how long a release waits for a caller to connect
@@ -46,23 +47,6 @@
     return choice
 
 
-def called_number(key: str) -> int:
-    """The number called, as the decisions want it: 16 hex digits, else 0."""
-    try:
-        return int(key, 16) if len(key) == 16 else 0
-    except ValueError:
-        return 0
-
-
-def release_cause(message: sip.Message) -> int:
-    """The cause in a Reason header; 16 where it says nothing."""
-    for value in message.all("reason"):
-        cause = sip.parameters(value).get("cause", "")
-        if value.lower().startswith("q.850") and cause.isascii() and cause.isdigit():
-            return min(127, int(cause))
-    return ENDED
-
-
 @dataclass(eq=False, slots=True)
 class Release:
     """A release that its caller has not heard yet."""
--- a/stairhatch/sip/dialogs.py
+++ b/stairhatch/sip/dialogs.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from stairhatch.node import message as sip
 from stairhatch.sip import grammar
-from stairhatch.sip import message as sip
 from stairhatch.sip.heads import Head
 
 Key = tuple[str, str, str]  # Call-ID, our tag, the caller's
--- a/stairhatch/sip/flows.py
+++ b/stairhatch/sip/flows.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from stairhatch.node import message as sip
 from stairhatch.node.core import Counters, Machine, idle
-from stairhatch.sip import message as sip
 
 MOST_OUTPUT = 256 * 1024  # of a connection; one that reads so much too slowly is cut off
 MOST_DATAGRAMS = 4096  # waiting to be sent
--- a/stairhatch/sip/front.py
+++ b/stairhatch/sip/front.py
@@ -14,11 +14,11 @@
 from stairhatch.admission.feedback import algorithm_for
 from stairhatch.admission.gate import SERVED, Gate, GatePolicy, Judged, Kind, Verdict
 from stairhatch.interface import CallClass
+from stairhatch.node import message as sip
 from stairhatch.node import roster
 from stairhatch.node.core import AWAY_S, CUT, Core, Machine, Offer
-from stairhatch.node.trunk_front import called_number, release_cause
+from stairhatch.node.message import called_number, release_cause
 from stairhatch.sip import auth, grammar, sessions
-from stairhatch.sip import message as sip
 from stairhatch.sip.dialogs import Order, Stage, key_of
 from stairhatch.sip.flows import (
     Flow,
@@ -553,6 +553,10 @@
         ours = self.ours[(leg, method)] = Ours(self, leg, method, extra, body)
         ours.send()
 
+    def least_s(self) -> int:
+        """The shortest session timer that is taken."""
+        return self.config.timers.least_s
+
     def asking(self, leg: Leg, method: str) -> bool:
         """Whether such a request of ours is out."""
         return (leg, method) in self.ours
--- a/stairhatch/sip/heads.py
+++ b/stairhatch/sip/heads.py
@@ -8,8 +8,8 @@
 import re
 from hashlib import blake2b
 
+from stairhatch.node import message as sip
 from stairhatch.sip import grammar
-from stairhatch.sip import message as sip
 from stairhatch.sip.grammar import GrammarError, Via
 
 MAGIC = "z9hG4bK"
--- a/stairhatch/sip/leg.py
+++ b/stairhatch/sip/leg.py
@@ -7,19 +7,16 @@
 
 import math
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from stairhatch.node.core import ENDED, Call
+from stairhatch.node import message as sip
+from stairhatch.node.core import ENDED, Call, Core
 from stairhatch.sip import grammar, sessions
-from stairhatch.sip import message as sip
-from stairhatch.sip.dialogs import Dialog, Stage, open_dialog
-from stairhatch.sip.flows import Flow, SipConnection
+from stairhatch.sip.dialogs import Dialog, Key, Stage, open_dialog
+from stairhatch.sip.flows import Flow, Place, SipConnection
 from stairhatch.sip.heads import MAGIC, lines
 from stairhatch.sip.sessions import Due, Lease, Reliable, SessionTimer
-from stairhatch.sip.transactions import LAST, T1, T2, Client, Server
-
-if TYPE_CHECKING:
-    from stairhatch.sip.front import SipFront
+from stairhatch.sip.transactions import LAST, T1, T2, Client, Server, Transactions
 
 ALLOW = ("allow", "INVITE, ACK, CANCEL, BYE, OPTIONS, PRACK, UPDATE, INFO")
 SUPPORTED = ("supported", ", ".join(sessions.SUPPORTED))
@@ -30,6 +27,34 @@
 LATER_S = 5.0  # a refresh that the caller can't take now is tried again
 
 
+class Front(Protocol):
+    """What a leg asks of the front that it belongs to."""
+
+    core: Core
+    transactions: Transactions
+    dialogs: dict[Key, Leg]
+    ours: dict[tuple[Leg, str], Ours]
+
+    def token(self) -> str: ...
+    def part(self) -> float: ...
+    def least_s(self) -> int: ...
+    def contact(self, flow: Flow) -> str: ...
+    def sent_by(self, flow: Flow) -> str: ...
+    def way_to(self, uri: str, used: Flow, size: int = 0, by_tcp: bool = True) -> Flow: ...
+    def way_back(self, used: Flow, place: Place) -> Flow: ...
+    def asking(self, leg: Leg, method: str) -> bool: ...
+    def ask(self, leg: Leg, method: str, extra: sip.Headers, body: bytes = b"") -> None: ...
+    def answered(
+        self, transaction: Server, status: int, call_id: str, cseq: int = 0, method: str = "INVITE"
+    ) -> None: ...
+    def respond(
+        self, transaction: Server, status: int, extra: sip.Headers, tag: str = "", body: bytes = b""
+    ) -> bytes: ...
+    def final(
+        self, transaction: Server, status: int, extra: sip.Headers, tag: str = "", body: bytes = b""
+    ) -> None: ...
+
+
 class Leg:
     """A caller's INVITE and its dialog. The core sees it as the caller."""
 
@@ -38,7 +63,7 @@
         "lease", "methods", "place", "ringing", "tag", "timer", "user",
     )  # fmt: skip
 
-    def __init__(self, front: SipFront, invite: Server, ident: str, tag: str, offer: bytes) -> None:
+    def __init__(self, front: Front, invite: Server, ident: str, tag: str, offer: bytes) -> None:
         self.front, self.ident, self.tag = front, ident, tag
         self.invite: Server | None = invite  # until its final answer
         self.flow, self.place = invite.flow, invite.place
@@ -288,7 +313,7 @@
         timer = self.timer
         if timer is None:
             return
-        least = max(self.front.config.timers.least_s, sessions.LEAST_SE_S)
+        least = max(self.front.least_s(), sessions.LEAST_SE_S)
         extra = [
             ("session-expires", f"{timer.interval_s};refresher=uac"), ("min-se", str(least)), SUPPORTED,
         ]  # fmt: skip
@@ -346,7 +371,7 @@
 
     __slots__ = ("body", "client", "cseq", "extra", "front", "leg", "method", "tries")
 
-    def __init__(self, front: SipFront, leg: Leg, method: str, extra: sip.Headers, body: bytes) -> None:
+    def __init__(self, front: Front, leg: Leg, method: str, extra: sip.Headers, body: bytes) -> None:
         self.front, self.leg, self.method, self.extra, self.body = front, leg, method, extra, body
         self.tries, self.cseq = 0, 0
         self.client: Client | None = None
--- a/stairhatch/sip/sessions.py
+++ b/stairhatch/sip/sessions.py
@@ -9,8 +9,8 @@
 from enum import Enum
 from hashlib import blake2b
 
+from stairhatch.node import message as sip
 from stairhatch.sip import grammar
-from stairhatch.sip import message as sip
 
 MEDIA = "application/sdp"
 SUPPORTED = ("100rel", "timer")
--- a/stairhatch/sip/transactions.py
+++ b/stairhatch/sip/transactions.py
@@ -14,8 +14,8 @@
 from functools import partial
 from typing import Protocol
 
+from stairhatch.node import message as sip
 from stairhatch.node.core import Counters
-from stairhatch.sip import message as sip
 from stairhatch.sip.flows import Flow, Place, SipConnection, UdpFlow
 from stairhatch.sip.heads import HERE, Head, render
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -18,6 +18,7 @@
 from stairhatch.choice import Controller
 from stairhatch.config import Config
 from stairhatch.interface import Standing
+from stairhatch.node import message as sip
 from stairhatch.node.console import MOST_ORDER, Door
 from stairhatch.node.core import HOLD_S, OLD_CLASS_S, TURN_AWAY_S, Listing
 from stairhatch.node.directory import Directory
@@ -26,7 +27,6 @@
 from stairhatch.node.trunk_front import GREET_S, TrunkFront
 from stairhatch.service import OPERATORS, Service, most_callers
 from stairhatch.settings import settings_from
-from stairhatch.sip import message as sip
 
 from .peers import (
     SETTINGS,
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from stairhatch.node import message as sip
 from stairhatch.node.roster import parse_load
 from stairhatch.node.syslog import Log, rfc5424, structured
-from stairhatch.sip import message as sip
 
 from .peers import Program, RosterServer, until
 
--- a/tests/test_sip_front.py
+++ b/tests/test_sip_front.py
@@ -10,7 +10,7 @@
 import pytest
 
 from stairhatch.interface import Report
-from stairhatch.sip import message as sip
+from stairhatch.node import message as sip
 
 from .peers import Caller, Inside, Line, Program, RosterServer, sip_headers, until
 
--- a/tests/test_sip_layers.py
+++ b/tests/test_sip_layers.py
@@ -11,9 +11,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from stairhatch.node import message as sip
 from stairhatch.node.core import Counters
 from stairhatch.sip import auth, grammar, sessions
-from stairhatch.sip import message as sip
 from stairhatch.sip.flows import Flow, Networks
 from stairhatch.sip.heads import Head
 from stairhatch.sip.sessions import Due, Lease, Refresher, SessionTimer, TimerPolicy
