Keep an experiment's results where there is no repository too

Need: in a copy of the tree that is no repository (as the mutants are made) stairhatch experiment ended in git's own words after all runs were done, and kept nothing.

Change: the commit is then told as unknown.

Result: the mutants' check of the tree as it is passes.

--- a/stairhatch/load/experiment.py
+++ b/stairhatch/load/experiment.py
@@ -202,9 +202,11 @@
 
     where = folder / experiment.name
     where.mkdir(parents=True, exist_ok=True)
-    commit = _git("rev-parse", "--short", "HEAD") + (
-        "+" if _git("status", "--porcelain", "stairhatch") else ""
-    )
+    try:
+        changed = "+" if _git("status", "--porcelain", "stairhatch") else ""
+        commit = _git("rev-parse", "--short", "HEAD") + changed
+    except PlanError:
+        commit = "unknown"  # no repository: a copy of the tree
     value = {
         "commit": commit, "command": command, "experiment": msgspec.to_builtins(experiment),
         "runs": [msgspec.to_builtins(each) for each in runs],
