Change a fleet's voters one at a time, and tell who is let in only after its wait

Change. fleet/epochs.py: a list has an epoch, the next differs by one voter, so majorities of two in turn share one (Ongaro 2014, 4.1) and both may be asked side by side while the files change. A voter at list u that hears a wish for u+1 closes u-1 and agrees to one list, on disk; who has that of a majority of u takes over their tickets and goes on. Asks and roll calls tell the list by epoch and digest; a file that does not follow its folder's list does not vote and says why. Key `fleet.epoch`.

What a voter tells another is free once its promise is over, so taking over blocks nothing that nobody holds.

--- a/stairhatch/config/appliance.py
+++ b/stairhatch/config/appliance.py
@@ -188,6 +188,7 @@
     name: Annotated[str, Meta(min_length=1, max_length=48)]
     listen: Text
     voters: dict[Annotated[str, Meta(min_length=1, max_length=48)], Text]
+    epoch: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
     folder: Text | None = None
     secret: Text | None = None
     history: Text | None = None
@@ -398,6 +399,7 @@
         name=table.name,
         listen=listen,
         voters=voters,
+        epoch=told.epoch,
         secret=secret.encode(),
         folder=folder / told.folder if told.folder is not None else None,
         history=folder / told.history if told.history is not None else None,
--- a/stairhatch/fleet/asking.py
+++ b/stairhatch/fleet/asking.py
@@ -73,6 +73,10 @@
     if vote is None:
         return out + "votes         no: it is none of the listed voters\n"
     out += f"votes         {'yes' if vote['votes'] else 'no: ' + vote['why']}\n"
+    out += f"list          {vote['epoch']}: {' '.join(vote['list'])}"
+    if vote["wishes"]:
+        out += f"; its file has {' '.join(vote['wishes'])}: not yet agreed to by a majority, or not heard of"
+    out += "\n"
     for each in vote["promises"]:
         left, holder = f"{each['left_s']:.1f}s", each["holder"] or "-"
         out += f"  promised {each['claim']:18} {each['ticket']:>7} {left:>7} {holder}\n"
--- a/stairhatch/fleet/claims.py
+++ b/stairhatch/fleet/claims.py
@@ -21,6 +21,7 @@
 from enum import Enum
 
 from stairhatch.fleet.effects import Effect, Note, Place, Send, What
+from stairhatch.fleet.epochs import digest
 from stairhatch.fleet.messages import Ask, GiveBack, Granted, Mark, Refused
 
 ROUNDS = 4  # whose answers may still come
@@ -78,7 +79,9 @@
         terms: Terms,
         chance: random.Random,
         marks: dict[str, Mark],
+        epoch: int = 1,
     ) -> None:
+        self.epoch, self.roll = epoch, digest(voters)
         self.name, self.me, self.voters, self.terms = name, me, voters, terms
         self.chance, self.marks = chance, marks
         self.stage = Stage.RESTING
@@ -177,7 +180,7 @@
             self._rounds.popitem(last=False)
         ask = Ask(
             self.name, *self.me, ticket, math.ceil(self.terms.term_s * 1000), self._serial,
-            dict(self.marks),
+            dict(self.marks), self.epoch, self.roll,
         )  # fmt: skip
         return [Send(place, ask) for place in self.voters.values()]
 
--- a/stairhatch/fleet/config.py
+++ b/stairhatch/fleet/config.py
@@ -19,6 +19,7 @@
     name: str  # this softswitch's
     listen: Place
     voters: dict[str, Place]
+    epoch: int = 1  # of that list, counted up with each change
     secret: bytes = field(default=b"", repr=False)
     folder: Path | None = None
     history: Path | None = None
--- a/stairhatch/fleet/effects.py
+++ b/stairhatch/fleet/effects.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from stairhatch.fleet.epochs import Roll
 from stairhatch.fleet.messages import Mark, Message
 
 Place = tuple[str, int]  # host and port; on the virtual clock a name and 0
@@ -31,6 +32,7 @@
     admitted: bool = False  # this folder has voted, or been let in
     promises: tuple[Promise, ...] = ()
     known: dict[str, Mark] = field(default_factory=dict)  # of the other voters
+    roll: Roll | None = None  # the list of voters that it goes by
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
     promises: tuple[Promise, ...] = ()
     known: dict[str, Mark] = field(default_factory=dict)
     admitted: bool = False
+    roll: Roll | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +76,7 @@
     PROMISED = "promised"
     REFUSED = "refused"
     TOOK = "took"
+    WENT_ON = "goes by the next list of voters"
 
 
 @dataclass(frozen=True, slots=True)
--- a/stairhatch/fleet/mate.py
+++ b/stairhatch/fleet/mate.py
@@ -53,20 +53,25 @@
         now: float,
         kept: Kept | None = None,
         fences: dict[str, int] | None = None,
+        epoch: int = 1,
     ) -> None:
+        """`epoch`: of this list of voters, counted up with each change of it."""
+        self.epoch = epoch
         self.who, self.voters, self.terms, self.chance = who, voters, terms, chance
         self.claims: dict[str, Claim] = {}
         self.marks: dict[str, Mark] = {}
         self.fences = Fences(fences)
         self.shown: dict[str, dict[str, Shown]] = {}  # claim -> voter -> what it said last
-        self.voter = Voter(who.name, voters, terms, kept, now) if kept is not None else None
+        self.voter = Voter(who.name, voters, terms, kept, now, 1, epoch) if kept is not None else None
         self.watched: Callable[[Shown], None] = unwatched
 
     def claim(self, name: str) -> Claim:
         """A claim as this softswitch asks for it; made at the first call."""
         if name not in self.claims:
             me = self.who.name, self.who.incarnation
-            self.claims[name] = Claim(name, me, self.voters, self.terms, self.chance, self.marks)
+            self.claims[name] = Claim(
+                name, me, self.voters, self.terms, self.chance, self.marks, self.epoch
+            )
         return self.claims[name]
 
     def may_act(self, now: float, name: str) -> bool:
--- a/stairhatch/fleet/messages.py
+++ b/stairhatch/fleet/messages.py
@@ -44,6 +44,8 @@
     term_ms: Millis
     serial: Number
     marks: dict[Name, Mark] = {}  # of the voters, as the asker has heard
+    epoch: Number = 1  # of the list of voters that are asked
+    roll: Number = 0  # that list's digest
 
 
 class Granted(Message, frozen=True, tag="yes"):
@@ -104,6 +106,9 @@
     fresh: bool  # its folder was empty
     good: bool = False  # it votes
     after: Annotated[str, Meta(max_length=48)] = ""
+    serial: Number = 0  # answers to an earlier one don't count
+    epoch: Number = 1
+    wish: Number = 0  # the digest of the next list that it would go by
 
 
 class Kept(Struct, frozen=True, array_like=True):
@@ -128,6 +133,11 @@
     after: Annotated[str, Meta(max_length=48)] = ""
     kept: Annotated[tuple[Kept, ...], Meta(max_length=PAGE)] = ()
     more: bool = False
+    serial: Number = 0  # of the call
+    epoch: Number = 1  # of the list that it goes by, and its digest
+    roll: Number = 0
+    floor: Number = 0  # asks by lists of lower epochs are refused
+    agreed: Number = 0  # the digest of the next list that it agreed to
 
 
 class Tune(Message, frozen=True, tag="tune"):
--- a/stairhatch/fleet/service.py
+++ b/stairhatch/fleet/service.py
@@ -36,7 +36,9 @@
 LIST = "list"
 LONGEST_S, SHORTEST_S = 0.25, 0.001  # between two looks at what is due
 SPAN_PART = 1.25  # the span in which a turn at a cold server opens and lapses, in `fall_s`
-LOGGED = (What.HELD, What.LOST, What.GIVEN_BACK, What.STOOD_DOWN, What.VOTES, What.SILENT)
+LOGGED = (
+    What.HELD, What.LOST, What.GIVEN_BACK, What.STOOD_DOWN, What.VOTES, What.SILENT, What.WENT_ON,
+)  # fmt: skip
 REFUSALS_S = 1.0  # late news that is refused is logged so often at the most
 
 
@@ -87,6 +89,7 @@
         self.mate = Mate(
             Who(config.name, secrets.randbits(62)), config.voters, config.terms, self.chance, now,
             found.kept if found is not None and config.votes else None, found.fences if found else {},
+            config.epoch,
         )  # fmt: skip
         self.settings = settings  # as the file has them
         self.numbers = self._numbers(settings)
@@ -411,7 +414,8 @@
             ]  # fmt: skip
             told["vote"] = {
                 "votes": voter.votes, "why": "" if voter.votes else voter.why or voter.standing.value,
-                "promises": promised,
+                "promises": promised, "epoch": voter.roll.epoch, "list": list(voter.roll.voters),
+                "wishes": voter.listed if voter.wish else [], "agreed": bool(voter.roll.agreed),
             }  # fmt: skip
         return told
 
--- a/stairhatch/fleet/store.py
+++ b/stairhatch/fleet/store.py
@@ -12,16 +12,18 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import os
 import queue
 import secrets
 import sqlite3
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
 from stairhatch.fleet.effects import Fence, Kept, Promise, Write
+from stairhatch.fleet.epochs import Roll
 from stairhatch.fleet.messages import Mark
 
 FILE = "claims.db"
@@ -49,6 +51,14 @@
     put_aside: str = ""  # under which name, and why
 
 
+def _roll(own: dict[str, str]) -> Roll | None:
+    """The list of voters in a folder; None in one from before lists were kept."""
+    if "roll" not in own:
+        return None
+    told = json.loads(own["roll"])
+    return Roll(**{**told, "voters": tuple(told["voters"])})
+
+
 Done = Callable[[str], None]  # hears "" or what went wrong, on the loop
 Hook = Callable[[], None]
 
@@ -119,6 +129,7 @@
                 "SELECT claim, ticket, holder, incarnation, term_s FROM promises")),
             {row[0]: Mark(*row[1:]) for row in base.execute(
                 "SELECT voter, folder, life, promises FROM known")},
+            _roll(own),
         )  # fmt: skip
         fences = {str(claim): int(ticket) for claim, ticket in base.execute("SELECT * FROM fences")}
         base.execute("COMMIT")
@@ -175,6 +186,8 @@
                 self._put({"promises": each.mark.promises})
                 if each.admitted:
                     self._put({"admitted": 1})
+                if each.roll is not None:
+                    self._put({"roll": json.dumps(asdict(each.roll))})
             base.execute("COMMIT")
         except (OSError, sqlite3.Error) as error:
             with contextlib.suppress(sqlite3.Error):
--- a/stairhatch/fleet/voting.py
+++ b/stairhatch/fleet/voting.py
@@ -7,20 +7,24 @@
 Standing. A voter that starts asks the others what they have seen of it (its mark: folder, start, promises).
   intact   its mark is no less than any that others have seen, and a majority with itself says so: it votes.
   new      its folder was empty. Where all voters say that of theirs, or know this very folder (they were
-           quicker, and may have started again since), the fleet is founded. Else it is let in as
-  out      one whose folder is older than what others have seen: a majority of others that vote tell all their
-           promises, these are written, a whole term passes, and only then it votes. Any majority that it took
-           part in shares a voter with those that told: no ticket that it has forgotten can be given again.
+           quicker, and may have started again since), the fleet is founded, a term later; by a first list of
+           voters only. Else it is let in as
+  out      one whose folder is older than what others have seen: it waits a whole term, and then a majority of
+           others that vote tell all their promises; these are written, and only then it votes. Any majority
+           that it took part in shares a voter with those that told: no ticket that it has forgotten can be
+           given again. They tell after the wait, not before it: until then a promise of theirs may still come
+           that makes a majority with one that it has forgotten.
 """
 
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from stairhatch.fleet.claims import Terms
 from stairhatch.fleet.effects import Effect, Kept, Note, Place, Promise, Send, What, Write
+from stairhatch.fleet.epochs import Kind, Roll, Said, compare, digest, may_go_on
 from stairhatch.fleet.messages import (
     PAGE,
     Ask,
@@ -40,6 +44,7 @@
 REST_S = 3.0  # between two of a voter that votes, so that others hear of a folder that came back old
 RETRY_S = 1.0  # a disk that took no write is tried again
 MOST_CLAIMS = 4096
+NOBODY = "-"  # holds what nobody is to get for a term
 HAND_S = 1.0  # a successor that is named goes first for so long
 
 
@@ -50,10 +55,16 @@
     VOTES = "votes"
     NEW = "its folder was empty"
     OUT = "its folder is older than what others have seen"
-    WAITING = "was let in and waits a term"
+    WAITING = "waits a term before it is let in"
+    HEARING = "hears what others have promised"
+    WRONG = "its file and its folder have different voters"
     BROKEN = "its disk takes no promise"
 
 
+RESTS = (Standing.BROKEN, Standing.WAITING, Standing.WRONG)  # and takes in no answer
+LEFT = (Standing.OUT, Standing.WAITING, Standing.HEARING, Standing.WRONG)
+
+
 @dataclass(slots=True)
 class Heard:
     """What another voter has said at this start."""
@@ -67,7 +78,14 @@
     """One voter."""
 
     def __init__(
-        self, name: str, voters: dict[str, Place], terms: Terms, kept: Kept, now: float, first_write: int = 1
+        self,
+        name: str,
+        voters: dict[str, Place],
+        terms: Terms,
+        kept: Kept,
+        now: float,
+        first_write: int = 1,
+        epoch: int = 1,
     ) -> None:
         self.name, self.voters, self.terms = name, voters, terms
         self.others = {each: place for each, place in voters.items() if each != name}
@@ -86,19 +104,36 @@
         self._number = first_write
         self._promised = kept.mark.promises  # with those that are not on disk yet
         self._marks: dict[int, Mark] = {}  # by the write that puts it there
+        self._rolls: dict[int, Roll] = {}
         self._known_new = self._said = False
         self._answers: dict[int, tuple[Place, Message, str]] = {}  # by the write that has to come first
         self._writing: dict[str, int] = {}  # claim -> the write under way
         self._unwritten: dict[str, Promise] = {}
         self._broken_at = -math.inf
+        # Of the roll calls whose answers count: not those to an earlier start either.
+        self._serial = digest((kept.mark.folder, str(kept.mark.life)))
+        self._founds = False  # nobody has promised anything yet
+        self.listed = tuple(sorted(voters))  # in the file
+        mine = Roll(epoch, self.listed, 0, epoch)
+        self.roll = kept.roll or mine
+        self.on_disk = kept.roll
+        self._roll_new = kept.roll is None  # not on disk yet
+        kind, why = compare(self.roll, epoch, self.listed)
+        self.wish = digest(self.listed) if kind is Kind.NEXT else 0
+        if kind is Kind.WRONG:
+            self.standing, self.why = Standing.WRONG, why
+        elif kind is Kind.BEHIND:
+            self.roll, self._roll_new = mine, True
+            if self.standing is Standing.STARTING:
+                self.standing, self.why = Standing.OUT, why
 
     def _keeps(self, promise: Promise) -> float:
         return max(promise.term_s, self.terms.term_s) * (1 + self.terms.drift)
 
     @property
     def majority(self) -> int:
-        """Of the listed voters."""
-        return len(self.voters) // 2 + 1
+        """Of the voters of the list that it goes by."""
+        return self.roll.majority
 
     @property
     def votes(self) -> bool:
@@ -131,6 +166,8 @@
         if not self.votes:
             left = self.waits_until - now if self.standing is Standing.WAITING else 0.0
             return self.standing.name.lower(), 0, "", max(left, self.terms.round_s)
+        if not self.roll.serves(ask.epoch, ask.roll):
+            return f"another list of voters, {self.roll.epoch}", 0, "", self.terms.term_s
         if ask.term_ms > math.ceil(self.terms.term_s * 1000):
             return "term", 0, "", self.terms.term_s  # a voter let in again waits for no longer than its own
         old = self.promises.get(ask.claim)
@@ -195,13 +232,19 @@
     def _write(self, promises: tuple[Promise, ...], mark: Mark) -> Write:
         self._number += 1
         self._marks[self._number] = mark
-        self._known_new = False
-        return Write(self._number, mark, promises, dict(self.known), True)
+        self._known_new = self._roll_new = False
+        self._rolls[self._number] = self.roll
+        return Write(self._number, mark, promises, dict(self.known), True, self.roll)
 
     def written(self, now: float, number: int, fault: str) -> list[Effect]:
         """A write has ended. Only then is what it holds said; a fault ends the voting until one succeeds."""
         answer, mark = self._answers.pop(number, None), self._marks.pop(number, self.mark)
+        roll = self._rolls.pop(number, None)
         done = [claim for claim, under in self._writing.items() if under == number]
+        if fault and not self.votes and self.standing is not Standing.BROKEN:
+            for claim in done:  # it does not vote as it is, and writes all of it when it does
+                del self._writing[claim]
+            return []
         if fault:
             self._broken_at, self.due = now, min(self.due, now + RETRY_S)
             if self.standing is Standing.BROKEN:
@@ -210,6 +253,8 @@
             return [Note(What.SILENT, why=f"{Standing.BROKEN.value}: {fault}")]
         if mark.promises >= self.mark.promises:
             self.mark = mark
+        if roll is not None and (self.on_disk is None or roll.epoch >= self.on_disk.epoch):
+            self.on_disk = roll
         for claim in done:
             del self._writing[claim]
             self._unwritten.pop(claim, None)
@@ -224,7 +269,7 @@
         promise = self.promises[claim]
         note = Note(What.PROMISED, claim, promise.ticket, self.until.get(claim, now), promise.holder)
         # so that others know of a folder that comes back old
-        mine = RollCall(self.name, self.mark, self.fresh, True)
+        mine = RollCall(self.name, self.mark, self.fresh, True, epoch=self.roll.epoch)
         return [note, Send(sender, message), *(Send(place, mine) for place in self.others.values())]
 
     # ---- whether it votes ----
@@ -258,14 +303,20 @@
         return seen.life > self.mark.life or seen.promises > self._promised
 
     def _leave(self, now: float, standing: Standing) -> list[Effect]:
-        if self.standing in (standing, Standing.NEW, Standing.WAITING):
+        if self.standing in LEFT or self.standing is Standing.NEW:
             return []
         self.standing, self.due = standing, now
         self.started = now  # what it promised so far counts for a term from here
-        self.heard.clear()
+        self._founds, self.roll = False, replace(self.roll, floor=self.roll.epoch)
+        self._hear_anew()
         self._answers.clear()
         return [Note(What.SILENT, why=standing.value)]
 
+    def _hear_anew(self) -> None:
+        """What was heard so far counts no longer, nor what is on its way."""
+        self.heard.clear()
+        self._serial += 1
+
     def tick(self, now: float) -> list[Effect]:
         """Roll calls, the end of a wait, and a disk that is tried again."""
         if now < self.due:
@@ -281,16 +332,29 @@
             self._writing = dict.fromkeys(self._unwritten, write.number)
             return [write]
         if self.standing is Standing.WAITING and now >= self.waits_until:
-            return self._vote(now, "a term has passed since it was let in")
-        if not self.others and not self.votes:
+            if self._founds:
+                return self._vote(now, "a term has passed since the fleet was founded")
+            self.standing = Standing.HEARING
+            self._hear_anew()
+        if self.standing is Standing.STARTING and self.majority == 1 and self.roll.voters == (self.name,):
             return [*out, *self._vote(now, "the only voter")]
-        self.due = now + (REST_S if self.votes else CALL_S)
-        if self.votes and self._known_new:
+        if self.standing is Standing.WRONG:
+            self.due = math.inf
+            return [Note(What.SILENT, why=self.why)]
+        out += self._wishes(now)
+        self.due = now + (REST_S if self.votes and not self.wish else CALL_S)
+        if not self.others and self.standing is Standing.NEW:
+            out += self._judge(now)
+        if self.votes and (self._known_new or self._roll_new):
             out.append(self._write((), Mark(self.mark.folder, self.mark.life, self._promised)))
         for name, place in self.others.items():
             heard = self.heard.get(name)
             after = max(heard.promises, default="") if heard is not None and not heard.whole else ""
-            out.append(Send(place, RollCall(self.name, self.mark, self.fresh, self.votes, after)))
+            wish = self.wish if self.votes else 0
+            call = RollCall(
+                self.name, self.mark, self.fresh, self.votes, after, self._serial, self.roll.epoch, wish
+            )
+            out.append(Send(place, call))
         if self.standing is Standing.WAITING:
             self.due = min(self.due, self.waits_until)
         return out
@@ -309,15 +373,45 @@
         self._hear(call.voter, call.mark, call.good)
         names = sorted(name for name in self.promises if name > call.after)
         kept = tuple(
-            Told(p.claim, p.ticket, p.holder, p.incarnation, int(p.term_s * 1000))
+            Told(p.claim, p.ticket, p.holder, p.incarnation, math.ceil(p.term_s * 1000))
+            if self.until.get(p.claim, -math.inf) > now else Told(p.claim, p.ticket, "", 0, 0)
             for p in (self.promises[name] for name in names[:PAGE])
         )
-        out = self.standing in (Standing.OUT, Standing.WAITING)
+        if self.votes and call.wish and call.epoch == self.roll.epoch:
+            self._agree(now, call.wish)
+        roll = self.on_disk
         answer = RollAnswer(
-            self.name, self.mark, self.fresh, self.votes, out, known, call.after, kept, len(names) > PAGE
-        )
+            self.name, self.mark, self.fresh, self.votes, self.standing in LEFT, known, call.after, kept,
+            len(names) > PAGE, call.serial, roll.epoch if roll else 0, roll.digest if roll else 0,
+            roll.floor if roll else 0, roll.agreed if roll else 0,
+        )  # fmt: skip
         return [Send(self.others[call.voter], answer)]
 
+    # ---- the next list ----
+
+    def _agree(self, now: float, told: int) -> None:
+        """To the first next list that is heard of; from here on no ask by the list before is served."""
+        roll = self.roll.agree(told)
+        if roll != self.roll:
+            self.roll, self._roll_new, self.due = roll, True, now
+
+    def _wishes(self, now: float) -> list[Effect]:
+        """Go on to the file's list, where enough have said that they agree."""
+        if not self.votes or not self.wish:
+            return []
+        self._agree(now, self.wish)
+        if self.on_disk is None or self.on_disk != self.roll:
+            return []
+        ready = {name: each for name, each in self.heard.items() if each.answer.good and each.whole}
+        said = {name: said_of(each.answer) for name, each in ready.items()}
+        if not may_go_on(self.roll, self.wish, said, self.name):
+            return []
+        self._take_over(now, list(ready.values()))
+        self.roll, self.wish = self.roll.next(self.listed), 0
+        mark = Mark(self.mark.folder, self.mark.life, self._promised)
+        write = self._write(tuple(self.promises.values()), mark)
+        return [write, Note(What.WENT_ON, ticket=self.roll.epoch, why=" ".join(self.listed))]
+
     def answered(self, now: float, answer: RollAnswer) -> list[Effect]:
         """Another voter has said what it knows."""
         if answer.voter not in self.others:
@@ -325,10 +419,12 @@
         self._hear(answer.voter, answer.mark, answer.good)
         if answer.known is not None and self._behind(answer.known):
             return self._leave(now, Standing.OUT)
-        if self.votes or self.standing in (Standing.BROKEN, Standing.WAITING):
+        if (self.votes and not self.wish) or self.standing in RESTS:
+            return []
+        if answer.serial != self._serial:
             return []
         heard = self.heard.get(answer.voter)
-        if heard is None or heard.answer.mark.life != answer.mark.life or heard.answer.good != answer.good:
+        if heard is None or changed(heard.answer, answer):
             heard = self.heard[answer.voter] = Heard(answer)
         heard.answer = answer
         if answer.after == max(heard.promises, default=""):  # the next page, none left out
@@ -340,15 +436,24 @@
 
     def _judge(self, now: float) -> list[Effect]:
         """Whether what was heard is enough to vote."""
+        if self.votes:
+            return self._wishes(now)
         if self.standing is Standing.STARTING:
-            sure = [h for h in self.heard.values() if not h.answer.fresh and not h.answer.out]
+            sure = [
+                h for name, h in self.heard.items()
+                if name in self.roll.voters and not h.answer.fresh and not h.answer.out
+            ]  # fmt: skip
             if len(sure) + 1 >= self.majority:
                 return self._vote(now, "a majority has seen nothing newer")
             return []
-        good = [h for h in self.heard.values() if h.answer.good and h.whole]
+        here = self.roll.epoch, self.roll.digest
+        good = [
+            h for h in self.heard.values()
+            if h.answer.good and h.whole and (h.answer.epoch, h.answer.roll) == here
+        ]  # fmt: skip
         if len(good) >= self.majority:
             return self._let_in(now, good)
-        if self.standing is Standing.NEW and len(self.heard) == len(self.others):
+        if self.standing is Standing.NEW and self.roll.epoch == 1 and len(self.heard) == len(self.others):
             vouched = [
                 heard.answer.fresh
                 or (
@@ -360,26 +465,59 @@
                 for heard in self.heard.values()
             ]
             if all(vouched):
+                self._founds = True  # and has promised nothing, so it has nothing to hear
                 return self._wait(now)
         return []
 
     def _let_in(self, now: float, good: list[Heard]) -> list[Effect]:
+        """Enough are there that vote: wait a term, and then go by what they tell."""
         for heard in good:
             known = heard.answer.known
             if known is not None and known.folder == self.mark.folder:  # or it would be found behind again
                 self._promised = max(self._promised, known.promises + 1)
-            for told in heard.promises.values():
-                old = self.promises.get(told.claim)
-                if old is None or told.ticket > old.ticket:
-                    self.promises[told.claim] = Promise(
-                        told.claim, told.ticket, told.holder, told.incarnation, told.term_ms / 1000
-                    )
+        self._founds = False
+        self._take_over(now, good)
+        if self.standing is Standing.HEARING:
+            return self._vote(now, "a majority has told it what was promised")
         return self._wait(now)
 
+    def _take_over(self, now: float, good: list[Heard]) -> None:
+        """The tickets of others; who has one may hold it for as long as from now. Where two are told of one
+        claim, a majority may stand behind either: the higher ticket counts, and for a term nobody gets it.
+        """
+        for told in [each for heard in good for each in heard.promises.values()]:
+            old = self.promises.get(told.claim, Promise(told.claim, 0))
+            new = Promise(told.claim, told.ticket, told.holder, told.incarnation, told.term_ms / 1000)
+            same = (old.holder, old.incarnation) == (new.holder, new.incarnation)
+            if told.ticket <= old.ticket and (same or not told.holder):
+                continue
+            if (old.holder and not same) or told.ticket <= old.ticket:
+                term = max(old.term_s, new.term_s)
+                new = Promise(told.claim, max(old.ticket, told.ticket), NOBODY, 0, term)
+            self.promises[told.claim] = new
+            if told.claim in self._writing:  # that write must not be answered any more
+                self._answers.pop(self._writing[told.claim], None)
+            self.first.pop(told.claim, None)
+            self.until.pop(told.claim, None)
+            if new.holder:
+                self.until[told.claim] = now + self._keeps(new)
+
+    def _longest(self) -> float:
+        return max([self.terms.term_s, *(each.term_s for each in self.promises.values())])
+
     def _wait(self, now: float) -> list[Effect]:
         """What it may have promised before it forgot must be over, and what others promised counts as new."""
-        longest = max([self.terms.term_s, *(each.term_s for each in self.promises.values())])
-        self.waits_until = self.started + longest * (1 + self.terms.drift)
+        self.waits_until = self.started + self._longest() * (1 + self.terms.drift)
         self.until = {each.claim: now + self._keeps(each) for each in self.promises.values() if each.holder}
         self.standing, self.due = Standing.WAITING, now
         return []
+
+
+def said_of(answer: RollAnswer) -> Said:
+    """The part of an answer that is about lists of voters."""
+    return Said(answer.epoch, answer.roll, answer.floor, answer.agreed)
+
+
+def changed(old: RollAnswer, new: RollAnswer) -> bool:
+    """Whether pages that were told before this answer count no longer."""
+    return (old.mark.life, old.good, said_of(old)) != (new.mark.life, new.good, said_of(new))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,11 @@
 
 import pytest
 
+from stairhatch.fleet.claims import Terms
+from stairhatch.fleet.effects import Kept, Send, Write
+from stairhatch.fleet.epochs import Kind, Roll, compare, digest
+from stairhatch.fleet.messages import Ask, Mark, RollCall
+from stairhatch.fleet.voting import Standing, Voter
 from stairhatch.lab.explore import Bounds, explore
 from stairhatch.lab.planted import planted
 from stairhatch.lab.schedule import draw
@@ -46,6 +51,20 @@
     assert run_seeds(range(200), fault=fault, until_broken=True).broken
 
 
+@pytest.mark.parametrize(
+    ("fault", "first"),
+    [
+        ("any list of voters is served", 100),
+        ("a list stays open while the second after it is gone on to", 100),
+        ("a voter goes on to its file's list by itself", 200),
+        ("who goes on to the next list takes over no tickets", 600),
+    ],
+)
+def test_a_fault_in_the_change_of_voters_is_found(fault, first):
+    """Guards against two majorities while the list of voters changes; few seeds change it twice."""
+    assert run_seeds(range(first, first + 200), fault=fault, until_broken=True).broken
+
+
 @pytest.mark.parametrize(
     "bounds",
     [
@@ -73,3 +92,76 @@
     waits for others that wait for it.
     """
     assert not run_seeds([1753, 2357, 2753]).broken
+
+
+def answers(voter, now, others):
+    """One voter asks the others at a moment, and its writes end at once."""
+    waiting = voter.tick(now)
+    while waiting:
+        each = waiting.pop(0)
+        if isinstance(each, Write):
+            waiting += voter.written(now, each.number, "")
+        elif isinstance(each, Send) and isinstance(each.message, RollCall):
+            for back in others[each.to[0]].called(now, each.message):
+                waiting += voter.answered(now, back.message)
+
+
+def test_a_promise_that_comes_after_the_telling_is_not_forgotten():
+    """Guards against a ticket that is given again: a voter promises, loses its folder and is told by the
+    others what they have promised; only then the same ask reaches one of them and makes a majority.
+    """
+    voters = {name: (name, 0) for name in ("v0", "v1", "v2")}
+
+    def voter(name, folder, admitted, now):
+        kept = Kept(Mark(folder, 1, 0), admitted, roll=Roll(1, tuple(voters), 0, 1) if admitted else None)
+        return Voter(name, voters, Terms(), kept, now)
+
+    others = {name: voter(name, name, True, 0.0) for name in ("v1", "v2")}
+    for each in others.values():
+        each.standing = Standing.VOTES
+    lost = voter("v0", "empty", False, 0.1)
+    answers(lost, 0.1, others)
+    assert lost.standing is Standing.WAITING
+    ask = Ask("work", "a", 1, 5, 3000, 1, roll=digest(voters))
+    late = others["v1"]
+    writes = [each for each in late.asked(0.5, ("a", 0), ask) if isinstance(each, Write)]
+    late.written(0.5, writes[0].number, "")
+    for tenth in range(2, 60):
+        answers(lost, tenth / 10, others)
+    assert lost.votes
+    again = lost.asked(9.0, ("b", 0), Ask("work", "b", 2, 5, 3000, 1, roll=digest(voters)))
+    assert again[0].message.why == "low" and again[0].message.highest == 5
+
+
+def test_a_disk_that_fails_gives_no_vote_back_to_who_has_lost_it():
+    """Guards against a voter with an old folder that votes since its disk failed and was well again."""
+    voters = {name: (name, 0) for name in ("v0", "v1", "v2")}
+    voter = Voter("v0", voters, Terms(), Kept(Mark("f", 1, 0), True), 0.0)
+    voter.standing = Standing.VOTES
+    ask = Ask("work", "a", 1, 1, 3000, 1, {"v1": Mark("v1", 1, 1)}, roll=digest(voters))
+    write = next(each for each in voter.asked(0.1, ("a", 0), ask) if isinstance(each, Write))
+    voter.asked(0.2, ("b", 0), Ask("other", "b", 1, 1, 3000, 1, {"v0": Mark("f", 9, 9)}))
+    assert voter.standing is Standing.OUT
+    voter.written(0.3, write.number, "full")
+    for each in voter.tick(2.0):
+        if isinstance(each, Write):
+            voter.written(2.1, each.number, "")
+    assert voter.standing is Standing.OUT
+
+
+@pytest.mark.parametrize(
+    ("epoch", "voters", "kind", "why"),
+    [
+        (2, ("a", "b", "c"), Kind.SAME, ""),
+        (3, ("a", "b", "c", "d"), Kind.NEXT, ""),
+        (3, ("a", "b"), Kind.NEXT, ""),
+        (2, ("a", "b", "d"), Kind.WRONG, "a change needs an epoch"),
+        (3, ("a", "b", "d"), Kind.WRONG, "more than one voter"),
+        (1, ("a", "b", "c"), Kind.WRONG, "list 2 already"),
+        (4, ("a", "b"), Kind.BEHIND, "list 2, its file list 4"),
+    ],
+)
+def test_a_file_is_held_against_the_list_in_the_folder(epoch, voters, kind, why):
+    """Guards against a list of voters that is mistyped and makes a second majority."""
+    found, told = compare(Roll(2, ("a", "b", "c")), epoch, voters)
+    assert found is kind and why in told and bool(why) == bool(told)
