--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -4,10 +4,12 @@
 
     .venv/bin/python benchmarks/fleet.py
     .venv/bin/python benchmarks/fleet.py --calls   # what it costs calls: real appliances, off and on in turn
+    .venv/bin/python benchmarks/fleet.py --kills   # from SIGKILL to the next holder on real processes
 """
 
 from __future__ import annotations
 
+import multiprocessing
 import os
 import random
 import statistics
@@ -61,6 +63,28 @@
           f"p99 {took[int(len(took) * 0.99)]:.2f} s, longest {took[-1]:.2f} s")  # fmt: skip
 
 
+async def real_kills(seed: int, kills: int) -> list[float]:
+    """Seconds from the holder's SIGKILL to the next that may act, on real processes."""
+    every = 3.5 * TERM_S
+    events = tuple(Event(2 * TERM_S + n * every, Fault.KILL, "@holder", lasts=0.2) for n in range(kills))
+    lab = Lab(Schedule((kills + 1) * every, members(5), members(3), events, term_s=TERM_S), seed)
+    report = await lab.run()
+    took = []
+    held = [each for each in stretches(report.lines) if each.claim == LIST]
+    for line in report.lines:
+        if line.what == "killed" and any(
+            each.who == line.who and each.since < line.at <= each.until + 1e-3 for each in held
+        ):
+            after = [each.since for each in held if each.since > line.at]
+            took += [min(after) - line.at] if after else []
+    return took
+
+
+def real_kills_in(told: tuple[int, int]) -> list[float]:
+    """The same, in a process of its own."""
+    return uvloop.run(real_kills(*told))
+
+
 async def calls(on: bool, rate: float, seconds: float) -> tuple[float, float, int]:
     """(p99 of final answers in ms, processor time a call in ms, calls) of three appliances."""
     lab = Lab(Schedule(seconds, members(3), members(3), term_s=TERM_S), 1, calls=rate, fleet=on)
@@ -88,10 +112,19 @@
 
 if __name__ == "__main__":
     if "--calls" in sys.argv:
-        for turn in range(6):
-            p99, cost, many = uvloop.run(calls(bool(turn % 2), 60.0, 14.0))
-            told = f"p99 {p99:.2f} ms, {cost:.3f} ms of processor a call, {many} calls"
-            print(f"fleet {'on ' if turn % 2 else 'off'}: {told}", flush=True)
+        for rate in (60.0, 120.0):
+            for turn in range(6):
+                p99, cost, many = uvloop.run(calls(bool(turn % 2), rate, 14.0))
+                told = f"p99 {p99:.2f} ms, {cost:.3f} ms of processor a call, {many} calls"
+                print(f"fleet {'on ' if turn % 2 else 'off'}, {rate:.0f}/s each: {told}", flush=True)
+        sys.exit()
+    if "--kills" in sys.argv:
+        with multiprocessing.get_context("spawn").Pool(6) as pool:
+            runs = pool.map(real_kills_in, [(seed, 8) for seed in range(12)], chunksize=1)
+        found = sorted(each for run in runs for each in run)
+        print(f"real processes, term {TERM_S} s, {len(found)} kills: next holder p50"
+              f" {statistics.median(found):.2f} s, p99 {found[int(len(found) * 0.99)]:.2f} s,"
+              f" longest {found[-1]:.2f} s")  # fmt: skip
         sys.exit()
     for size in (5, 50, 200):
         at_rest(size)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -187,6 +187,13 @@
             [*RUN, "claims", str(started["b"][0]), "--json"], cwd=ROOT, capture_output=True
         )
         assert any(each["claim"] == "restart/0" for each in json.loads(shown.stdout)["claims"])
+        watch = [*RUN, "claims", str(started["c"][0]), "--watch", "restart/0", "--seconds", "4"]
+        seen = subprocess.run(watch, cwd=ROOT, capture_output=True, text=True)
+        assert "restart/0: held by b," in seen.stdout and "by 2 voters" in seen.stdout
+        table = subprocess.run(watch[:5], cwd=ROOT, capture_output=True, text=True)
+        assert "list          1: a b c\n" in table.stdout
+        started["c"][1].send_signal(signal.SIGUSR1)
+        until(lambda: "fleet_left_ms_number/" in (tmp_path / "c.log").read_text(), "terms left")
     finally:
         for _, process in started.values():
             process.kill()
