--- a/stairhatch/fleet/service.py
+++ b/stairhatch/fleet/service.py
@@ -304,7 +304,7 @@
     def _list(self, now: float) -> None:
         if self.directory is None or not self.config.list:
             return
-        owner = self.mate.may_act(now, LIST)
+        owner = self.mate.may_act(clock(), LIST)
         if owner and now - self._beaten >= self.follow.pace.tune_s:
             self._beaten = now
             claim = self.mate.claims[LIST]
@@ -325,12 +325,13 @@
 
     def _hand_on(self) -> None:
         """The owner tells the voters, once a number, with its ticket; the check stands right before."""
-        if not self.mate.may_act(clock(), LIST) or self.listed.index == self._handed:
+        checked = clock()
+        if not self.mate.may_act(checked, LIST) or self.listed.index == self._handed:
             return
         self._handed = self.listed.index
         claim = self.mate.claims[LIST]
         news = pack(self.listed, self.config.name, claim.ticket)
-        self.history("acted", claim=LIST, ticket=claim.ticket)
+        self.history("acted", claim=LIST, ticket=claim.ticket, checked=checked)
         between_check_and_write()
         self._to_voters(news)
 
--- a/stairhatch/lab/member.py
+++ b/stairhatch/lab/member.py
@@ -189,8 +189,11 @@
             until = told.get("until", 0.0)
             if until:
                 until = told["at"] + (until - told["clock"]) / self.rate
+            # Where a process is stopped between its check and this line, the check counts: what it did in its
+            # term may come late, and for that there are fences.
+            at = told["at"] + (told.get("checked", told["clock"]) - told["clock"]) / self.rate
             found.append(
-                Line(told["at"], self.name, told["what"], start, told.get("claim", ""),
+                Line(at, self.name, told["what"], start, told.get("claim", ""),
                      told.get("ticket", 0), until, why=told.get("why", ""))
             )  # fmt: skip
         return sorted(found, key=lambda each: each.at)
