Let who hears the list's owner itself ask no voter for news

Follow.tune is told when the owner itself was heard last, and asks nobody within 1.5 of its paces of that.

--- a/stairhatch/fleet/listing.py
+++ b/stairhatch/fleet/listing.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import json
+import math
 import zlib
 from dataclasses import dataclass, field
 from typing import Any
@@ -111,9 +112,9 @@
         """Whether it follows the coordinator now: the owner does, and who knows no list or hears nothing."""
         return owner or not known or now - self.heard > self.pace.quiet_s
 
-    def tune(self, now: float, owner: bool) -> str:
-        """The voter to be asked now; "" for none."""
-        if owner or now - self.tuned < self.pace.tune_s:
+    def tune(self, now: float, owner: bool, owner_heard: float = -math.inf) -> str:
+        """The voter to be asked now; "" for none. Who hears the owner itself, as voters do, need not ask."""
+        if owner or now - self.tuned < self.pace.tune_s or now - owner_heard < 1.5 * self.pace.tune_s:
             return ""
         self.tuned = now
         if self._silent:  # the last one said nothing: the next may
--- a/stairhatch/fleet/service.py
+++ b/stairhatch/fleet/service.py
@@ -309,7 +309,7 @@
             self._beaten = now
             claim = self.mate.claims[LIST]
             self._to_voters([News(self.config.name, claim.ticket, self.listed.index, 0, 1, b"")])
-        to = self.follow.tune(now, owner)
+        to = self.follow.tune(now, owner, self._owner_heard)
         if to and to != self.config.name:
             self.send(self.config.voters[to], Tune(self.listed.index))
         asks = self.may_ask()
