Give up what its caller has left, keep answers through closes, and lose no signal or line

Found, with the lines at fault on: - sip/flows.py SipConnection.lost: a SIP caller over TCP who closed, half-closed or reset while its call waited was set up all the same. Now what waits is answered and not sent on; what is out may stand, is the last, and goes to the Via. - node/core.py Machine.done: noise, or a message that never came whole, behind an open set-up ended its connection with the set-up. Now never while an answer is owed. TrunkConnection had no `ended`: half-closed set-ups got no answer. - trunk_front.py CANCEL: one read before its INVITE, on another connection, was forgotten, and the INVITE sent on. - node/net.py _put_out, end_idle: bytes that uvloop has read in this turn lie in the reader's buffer, neither in the socket nor at the machine; a newcomer in the same turn threw them away. A drain gave Come-Back-Ms where the settings allow none.

--- a/stairhatch/__main__.py
+++ b/stairhatch/__main__.py
@@ -6,8 +6,12 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 
+if len(sys.argv) == 1:  # a SIGHUP before the configuration is read ends nothing: it is read anyway
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from stairhatch.config.platform import read_platform
 from stairhatch.start import serve
 
--- a/stairhatch/interface.py
+++ b/stairhatch/interface.py
@@ -89,14 +89,16 @@
     may_cancel: bool = False
     may_advise_return: bool = True  # callers can be told when to dial again
     longest_return_s: float = 0.0  # the longest such advice that callers follow
+    connect_timeout_s: float = 0.5  # a server that is not reached within this counts as not reached
 
     def __post_init__(self) -> None:
         _require(isinstance(self.balancers, int) and self.balancers >= 1, "balancers", "must be at least 1")
         _require(-1 <= self.number < self.balancers, "number", "must be below balancers")
         whole = isinstance(self.attempts, int) and not isinstance(self.attempts, bool)
         _require(whole and self.attempts >= 1, "attempts", "must be a whole number of at least 1")
-        for name in ("retransmit_s", "period_s", "longest_return_s"):
+        for name in ("retransmit_s", "period_s", "longest_return_s", "connect_timeout_s"):
             _number(getattr(self, name), name)
+        _require(self.connect_timeout_s > 0, "connect_timeout_s", "must be above 0")
 
 
 # ---- what events carry ----
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -66,7 +66,7 @@
         self.wake()
 
     def ended(self) -> None:
-        """The peer will send no more."""
+        """The peer will send no more. A machine with something left to say sets `closing`: it is written."""
 
     def put_out(self) -> bytes:
         """The last word on a connection that has to go for a newcomer."""
@@ -82,8 +82,11 @@
         self.wake()
 
     def done(self) -> bool:
-        """Whether the connection may be closed once all is written."""
-        return self.closing
+        """Whether the connection may be closed once all is written. Never while an answer is owed on it.
+
+        Guards against a good set-up that goes down with a bad message behind it on the same connection.
+        """
+        return self.closing and not self.owes()
 
     def receive(self, data: bytes | memoryview) -> None:
         """Bytes from the peer."""
@@ -178,6 +181,7 @@
     attempts: int = 0
     pause_until: float = 0.0
     stood_at: float = 0.0
+    away: bool = False  # its caller can't be heard any more: nothing new is sent for it
 
 
 @dataclass(eq=False, slots=True)
@@ -482,6 +486,20 @@
         if attempt is not None and not attempt.over:
             self._give_up(attempt, Ending.CANCELLED)
 
+    def caller_away(self, call: Call) -> None:
+        """The caller's connection has ended, and an answer would have to be brought to it by another. What
+        waits is answered now and is not sent on; a set-up that is out may stand, and is the last.
+
+        Guards against calls that are set up for a caller who has left while the call waited.
+        """
+        if call.stage is not Stage.OFFERED or call.away:
+            return
+        call.away = True
+        self.counters.add("callers_away")
+        if call.attempt is None or not call.attempt.written:
+            self._answer_now(call)
+            self._tell(say.CallerLeft(call.number))
+
     def caller_released(self, call: Call, cause: int) -> None:
         """The caller ends a call that stands."""
         if call.stage is Stage.STANDING and call.attempt is not None:
@@ -507,10 +525,17 @@
         """The process is about to be ended: who still waits is told so, and may try elsewhere."""
         for call in [call for call in self.calls.values() if call.stage is Stage.OFFERED]:
             if call.stage is Stage.OFFERED:
-                harmless = call.attempts == 0 or call.offer.kind.repeatable
-                self._final(call, say.RefuseCall(call.number) if harmless else say.FailCall(call.number))
+                self._answer_now(call)
                 self._tell(say.CallerLeft(call.number))
 
+    def harmless(self, call: Call) -> bool:
+        """Whether its caller may be told that trying again does no harm."""
+        return call.attempts == 0 or call.offer.kind.repeatable
+
+    def _answer_now(self, call: Call) -> None:
+        """The final answer without the decisions: another try is the caller's."""
+        self._final(call, (say.RefuseCall if self.harmless(call) else say.FailCall)(call.number))
+
     def _backstop(self, number: int) -> None:
         """By the call's number: a timer that held the call kept it, its caller and its description until the
         longest wait was over, long after its end.
@@ -768,6 +793,8 @@
                 written=attempt.written,
                 note=note,
             )
+        if call.away and call.stage is Stage.OFFERED:
+            self._answer_now(call)
         self._tell(
             say.SetupEnded(
                 call=call.number,
--- a/stairhatch/node/directory.py
+++ b/stairhatch/node/directory.py
@@ -20,6 +20,7 @@
 WAIT_MS = 2000  # what is missed by a silent stop is asked for again so much sooner than with the longest wait
 WHOLE_S = WAIT_MS / 1000 + 0.7  # an answer that is not whole by then will not come on this connection
 MOST_BODY = 4 * 1024 * 1024
+SOON_S, PACE_S = 0.025, 0.1  # an answer that comes so soon and tells nothing new: the next question waits
 STATES = {
     "in_service": Standing.READY,
     "terminating": Standing.DRAINING,
@@ -88,7 +89,8 @@
         self.hurry: Callable[[], None] = idle  # come at once, set by the driver
         self.told: Callable[[Any], None] | None = None  # hears each answer that has been taken in
         self.may_ask: Callable[[], bool] | None = None  # whether it is this softswitch's turn to ask
-        self._asked = 0
+        self._asked, self._asked_at = 0, 0.0
+        self._older = False  # the last answer's number was below what is known
         self._parser: Any = None
         self._output = b""
         self._body = bytearray()
@@ -137,14 +139,29 @@
     def _ask(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._body.clear()
-        self._asked += 1
-        self.core.at(self.core.clock() + WHOLE_S, partial(self._stalled, self._asked))
+        self._asked, self._asked_at = self._asked + 1, self.core.clock()
+        self.core.at(self._asked_at + WHOLE_S, partial(self._stalled, self._asked))
         wait_ms = WAIT_MS if self.core.list_known else FIRST_WAIT_MS
         path = f"/v2/stream?follow={self.after}&wait_ms={wait_ms}"
         host = f"{self.address[0]}:{self.address[1]}"
         self._output = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
         self.wake()
 
+    def _ask_again(self, asked: int) -> None:
+        """Guards against a coordinator that answers at once though nothing is new: a core went to that."""
+        if asked == self._asked and self._parser is not None and not self.closing:
+            self._ask()
+
+    def _look_at_number(self, index: int) -> None:
+        """A coordinator that has lost its memory counts from an older number: what is known is kept, and the
+        number asked for too, so that nothing is taken twice; whoever is on call is told.
+        """
+        older = index < self.after
+        if older and not self._older:
+            self.core.counters.add("directory_older")
+            self.core.log("directory", why=f"its number {index} is older than {self.after}, which is kept")
+        self._older = older
+
     def pull(self) -> bytes:
         """What is to be written."""
         data, self._output = self._output, b""
@@ -182,14 +199,19 @@
             answer = json.loads(self._body)
         except ValueError:
             raise DirectoryError("answer is no JSON") from None
-        keep = self._parser.should_keep_alive()
+        keep, before = self._parser.should_keep_alive(), self.after
         self.after = apply_events(self.core, answer, self.after)
+        self._look_at_number(int(answer["index"]))
         self.answers, self.told_at = self.answers + 1, self.core.clock()
         self.core.list_known = True
         self.core.counters.add("directory_answers")
         if self.told is not None:
             self.told(answer)
-        if keep and not self.rests():
+        now = self.core.clock()
+        idle_turn = self.after == before and now < self._asked_at + SOON_S and self.answers > 1
+        if keep and not self.rests() and idle_turn:
+            self.core.at(now + PACE_S, partial(self._ask_again, self._asked))
+        elif keep and not self.rests():
             self._ask()
         else:
             self.closing = True
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import math
+import select
 import socket
 import struct
 import time
@@ -22,7 +23,7 @@
 from stairhatch.node.roster import RosterLink
 
 BUFFER_BYTES = 16 * 1024
-CONNECT_S = 0.5
+CONNECT_S = 0.5  # to a coordinator or a caller; to a roster server as the settings say
 FIRST_BACKOFF_S, LONGEST_BACKOFF_S = 0.05, 1.0
 LONGEST_POLL_BACKOFF_S = 0.5  # what the coordinator would have told counts as told 2 s after a break
 REST_S = 1.0  # how often it is looked whether to ask the coordinator, where another does that for all
@@ -92,10 +93,21 @@
     since: float
     last: float = 0.0  # when bytes last came
     begun: float = 0.0  # since when the rest of a message is awaited; 0: it is not
+    buffer: bytearray | None = None  # that its reader waits with
 
     def __post_init__(self) -> None:
         self.last = self.since
 
+    def unseen(self) -> bool:
+        """Whether bytes have come that its machine has not been given.
+
+        They lie unread, or the loop has read them into the buffer in this turn and comes to the reader only
+        later in it: in between they are neither in the socket nor at the machine. The first byte, set to NUL
+        before each read, tells. Guards against a set-up that is thrown away with a connection that was held
+        to be idle, where a newcomer came in the same turn of the loop.
+        """
+        return bool(self.buffer and self.buffer[0]) or bool(unread(self.sock))
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -158,6 +170,11 @@
             self.taken[one] = None
             network.spawn(self._serve(one))
 
+    def unseen(self) -> bool:
+        """Whether a connection waits to be taken, or bytes lie unread on one that was."""
+        waits = self.watched and not self.closed and bool(select.select([self.sock], [], [], 0)[0])
+        return waits or any(one.unseen() for one in self.taken if not one.machine.closing)
+
     async def _serve(self, one: Taken) -> None:
         try:
             await self.network._run(one.sock, one.machine, one, self.taken)
@@ -176,7 +193,7 @@
         old = self.network.loop.time() - self.bounds.young_s
         idle_ones = [one for one in self.taken if one.last <= old and not one.machine.owes()]
         idle_ones.sort(key=lambda one: (one.begun > 0, one.machine.asked))  # stable: the first of equals
-        one = next((one for one in idle_ones if not unread(one.sock)), None)
+        one = next((one for one in idle_ones if not one.unseen()), None)
         if one is None:
             return False
         del self.taken[one]
@@ -199,6 +216,8 @@
         for one in list(self.taken):
             machine = one.machine
             late_first = not machine.asked and now - one.since > self.bounds.first_s
+            if one.unseen():
+                continue  # it has come in time; the loop is late
             if now - one.last > self.bounds.idle_s and not machine.closing and machine.idle():
                 self.network.core.counters.add("connections_idle_ended")
                 machine.leave()
@@ -214,9 +233,7 @@
         for one in reversed(list(self.taken)):  # the busiest first: what stays for releases is used least
             machine = one.machine
             quiet = now - one.last >= QUIET_S if machine.asked else now - one.since >= FRESH_S
-            if machine.closing or not quiet or not machine.idle():
-                continue
-            if unread(one.sock) is not None:
+            if machine.closing or not quiet or not machine.idle() or one.unseen():
                 continue
             self.network.core.counters.add("connections_drained")
             with contextlib.suppress(OSError):
@@ -291,6 +308,10 @@
             listening.open()
         return listening
 
+    def unseen(self) -> bool:
+        """Whether a caller has connected, or has sent something, that nobody has looked at yet."""
+        return any(each.unseen() for each in self.listeners)
+
     def emptied(self) -> bool:
         """Whether no caller is connected any more."""
         return not any(listening.taken for listening in self.listeners)
@@ -327,12 +348,15 @@
         wake.set()
         writer = self.loop.create_task(self._write(sock, machine, wake, abort))
         buffer = self.pool.take()
+        if one is not None:
+            one.buffer = buffer
         try:
             while True:
+                buffer[0] = 0
                 size = await self.loop.sock_recv_into(sock, buffer)
                 if not size:
                     machine.ended()
-                    if machine.done():  # its last word
+                    if machine.closing or machine.done():  # its last words
                         await asyncio.wait([writer], timeout=FLUSH_S)
                     break
                 machine.receive(memoryview(buffer)[:size])
@@ -355,6 +379,8 @@
             try:
                 await asyncio.wait([writer])  # awaited itself, it hid that this task was cancelled meanwhile:
             finally:  # a link then dialled on for ever, and the program never ended
+                if one is not None:
+                    one.buffer = None
                 self.pool.give(buffer)
                 sock.close()
                 machine.lost()
@@ -397,11 +423,11 @@
             self.core.log("fault", why=f"{type(error).__name__}: {error}", machine=type(machine).__name__)
         abort()
 
-    async def _connect(self, address: Place) -> socket.socket:
+    async def _connect(self, address: Place, within_s: float = CONNECT_S) -> socket.socket:
         sock = socket.socket(family(address[0]), socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
-            await asyncio.wait_for(self.loop.sock_connect(sock, address), CONNECT_S)
+            await asyncio.wait_for(self.loop.sock_connect(sock, address), within_s)
         except BaseException:
             sock.close()
             raise
@@ -501,7 +527,8 @@
             wanted = asyncio.Event()
             link.wake = wanted.set
             try:
-                sock = await self._connect(link.server.listing.address)
+                within_s = self.core.settings.connect_timeout_s
+                sock = await self._connect(link.server.listing.address, within_s)
             except (OSError, TimeoutError) as error:
                 link.failed(refused=isinstance(error, ConnectionRefusedError))
                 if link.retired:
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -135,8 +135,9 @@
             link.abort()
 
     def flushed(self) -> bool:
-        """Whether all that can be written has been taken to be written."""
-        return not any(link.queue and link.up_at < math.inf for link in self.links.values())
+        """Whether all that can be written has been written."""
+        every = (*self.links.values(), *self.spares.values(), *self.left)
+        return not any((link.queue or link.writing) and link.up_at < math.inf for link in every)
 
     def all_to(self, server: Server) -> list[RosterLink]:
         """Every link to a server."""
--- a/stairhatch/node/syslog.py
+++ b/stairhatch/node/syslog.py
@@ -12,11 +12,13 @@
 import queue
 import re
 import socket
-import sys
+import threading
 import time
 from collections.abc import Callable, Mapping
 
 MOST_WAITING = 10_000
+ERRORS = 2  # the descriptor of standard error
+CLOSE_S = 1.0  # so long the end waits for lines to be written
 MOST_WARNINGS = 20  # of a kind in a second; hostile peers could make the log the most costly part of the work
 FACILITY = 16  # local0
 SD_ID = "stairhatch@32473"  # the number that RFC 5612 sets aside for documentation; ours is not assigned yet
@@ -74,7 +76,16 @@
         return rfc5424(record.created, severity, self.host, self.app, record.event, record.fields)
 
 
-class _Datagrams(logging.handlers.SysLogHandler):
+class _Unlocked(logging.Handler):
+    """A handler for one thread alone. Its lock, held by a write that waits, would hold up the process's end,
+    when the library flushes each handler that there is.
+    """
+
+    def createLock(self) -> None:  # noqa: N802 - the library's name
+        self.lock = None
+
+
+class _Datagrams(_Unlocked, logging.handlers.SysLogHandler):
     """The standard handler and its socket; the message is ours, so it adds no priority or end mark."""
 
     socket: socket.socket
@@ -85,15 +96,18 @@
             self.socket.sendto(data, self.address)
 
 
-class _Lines(logging.Handler):
-    """Plain lines on standard error."""
+class _Lines(_Unlocked):
+    """Plain lines on standard error, past Python's own buffer: its lock, held by a write that nobody reads,
+    would end the whole process in a fault of the interpreter.
+    """
 
     def emit(self, record: logging.LogRecord) -> None:
         assert isinstance(record, _Event)
         words = " ".join(f"{key}={_plain(value)}" for key, value in record.fields.items())
-        with contextlib.suppress(OSError, ValueError):
-            sys.stderr.write(f"{record.created:.6f} {record.event} {words}\n")
-            sys.stderr.flush()
+        data = f"{record.created:.6f} {record.event} {words}\n".encode("utf-8", "replace")
+        with contextlib.suppress(OSError):
+            while data:
+                data = data[os.write(ERRORS, data) :]
 
 
 def _plain(value: object) -> str:
@@ -138,5 +152,19 @@
             self.left_out += 1
 
     def close(self) -> None:
-        """Write what waits, then stop."""
-        self._listener.stop()
+        """Write what waits, then stop, within `CLOSE_S`.
+
+        Guards against an end that never comes, or comes with a fault: where nobody reads the lines the queue
+        is full, so that the listener's own mark of the end finds no room, and its thread waits in a write.
+        """
+        closer = threading.Thread(target=self._stop, daemon=True)
+        closer.start()
+        closer.join(CLOSE_S)
+
+    def _stop(self) -> None:
+        while True:
+            try:
+                self._listener.stop()
+                return
+            except queue.Full:
+                time.sleep(0.01)
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from functools import lru_cache, partial
 
@@ -20,6 +21,7 @@
 GREET_S = 0.1  # a connection that is silent so long is a caller's
 MOST_TRIES = 4
 MOST_RELEASES = 8192  # not heard yet
+MOST_GIVEN_UP = 4096  # ids of set-ups whose CANCEL came before them, by another connection
 MOST_FAULTS = 8  # a connection with so many requests that can't be used is ended
 PATIENCE_SLACK = 1.5  # Answer-Within may be so many times the class's limit; no caller waits longer
 ALLOW = "INVITE, ACK, CANCEL, BYE, OPTIONS, NOTIFY"
@@ -64,6 +66,7 @@
         self.connections: dict[TrunkConnection, None] = {}  # the last that spoke comes last
         self.calls: dict[str, TrunkCall] = {}
         self.releases: dict[str, Release] = {}
+        self.given_up: OrderedDict[str, None] = OrderedDict()
         self.branch = 0
         core.orphan.append(self.release)
 
@@ -135,9 +138,22 @@
         return found or next(again, None)
 
     def flushed(self) -> bool:
-        """Whether all output has been handed to the driver, and the releases sent have been heard."""
+        """Whether all output has been written, and the releases sent have been heard.
+
+        Guards against an answer cut in two by the end of the process: what the driver has pulled is not
+        written while its caller reads slowly.
+        """
         unheard = any(release.tried for release in self.releases.values())
-        return not unheard and not any(connection.output for connection in self.connections)
+        return not unheard and not any(each.output or each.writing for each in self.connections)
+
+    def cancelled_early(self, ident: str) -> None:
+        """A CANCEL for a set-up that has not come: should it come yet, nobody waits for it.
+
+        Guards against a set-up that lies unread on one connection while its CANCEL is read on another.
+        """
+        self.given_up[ident] = None
+        if len(self.given_up) > MOST_GIVEN_UP:
+            self.given_up.popitem(last=False)
 
 
 @dataclass(eq=False, slots=True)
@@ -247,15 +263,31 @@
         self.size = 0
         return data
 
+    def ended(self) -> None:
+        """The caller sends no more: it has left what is open, as with a close, which looks the same. Each is
+        answered once all the same, for one that only ended its side of the connection and still reads.
+        """
+        for held in list(self.open.values()):
+            call = held.call
+            self._give_up(held)
+            held._answer(480 if call is None or self.front.core.harmless(call) else 500, [])
+        self.closing = True
+        self.wake()
+
+    def _give_up(self, held: TrunkCall) -> None:
+        """Nobody waits for this set-up any more."""
+        ident = held.request.get("call-id")
+        self.front.calls.pop(ident, None)
+        self.open.pop(ident, None)
+        if held.call is not None:
+            self.front.core.caller_left(held.call)
+
     def lost(self) -> None:
         """The connection has ended: what was open on it is given up, what stands on lives on."""
         front = self.front
         front.connections.pop(self, None)
         for held in list(self.open.values()):
-            front.calls.pop(held.request.get("call-id"), None)
-            if held.call is not None:
-                front.core.caller_left(held.call)
-        self.open.clear()
+            self._give_up(held)
         for ident in self.byes:
             release = front.releases.get(ident)
             if release is not None and release.tried and release.tried[-1] is self:
@@ -312,10 +344,12 @@
             case "INVITE":
                 self._invite(message, ident)
             case "CANCEL":
-                held = front.calls.pop(ident, None)
-                if held is not None and held.call is not None:
-                    held.connection.open.pop(ident, None)
-                    front.core.caller_left(held.call)
+                held = front.calls.get(ident)
+                if held is not None:
+                    held.connection._give_up(held)
+                    held.connection.wake()  # it may have ended but for this
+                elif not front.core.was_over(ident):
+                    front.cancelled_early(ident)
                 self.respond(message, 200 if held is not None else 481, [])
             case "BYE":
                 held = front.calls.pop(ident, None)
@@ -376,9 +410,15 @@
         if ident in front.calls or front.core.was_over(ident):
             self._unusable(message, 482)  # every set-up has an id of its own, a repeat too
             return
+        if ident in front.given_up:
+            del front.given_up[ident]
+            front.core.counters.add("calls_given_up_before")
+            self.respond(message, 480, [])
+            return
         if front.core.turns_away():
             front.core.counters.add("calls_turned_away")
-            self.respond(message, 503, [("come-back-ms", str(int(AWAY_S * 1000)))])
+            advice = [("come-back-ms", str(int(AWAY_S * 1000)))]
+            self.respond(message, 503, advice if front.core.settings.may_advise_return else [])
             return
         offer = Offer(
             ident=ident,
--- a/stairhatch/service.py
+++ b/stairhatch/service.py
@@ -38,6 +38,7 @@
 LEAVE_S = 0.4  # a planned restart's SIGKILL comes 0.7 s after the longest deadline, or after `drain_s`
 TELL_S, MOST_TOLD = 5.0, 5  # how often a restart says whom it waits for, and how many calls it names
 FLUSHED_S = 2.0  # so long the end waits for a peer to read its answer or to hear a release
+LAST_LOOK_S = 0.05  # before the end: what was handed to the sockets last is written
 HAND_OVER_S = 2.0  # so long into an upgrade a caller that never pauses is sent to the new process
 
 
@@ -225,7 +226,7 @@
             await asyncio.sleep(STAY_S)
         fronts = [each for each in (self.trunk, self.front) if each is not None]
         answered = math.inf  # since when
-        while not core.settled() or not all(each.flushed() for each in fronts):
+        while not await self._quiet(lambda: core.settled() and all(each.flushed() for each in fronts)):
             now = self.network.loop.time()
             if core.unanswered and now >= last:
                 self.log("drained", unanswered=core.unanswered)
@@ -241,7 +242,17 @@
             core.leave()
             while not self.network.emptied() and self.network.loop.time() < last:
                 await asyncio.sleep(0.01)
-        await asyncio.sleep(0.05)  # what was handed to the sockets last is written
+
+    async def _quiet(self, settled: Callable[[], bool]) -> bool:
+        """Whether nothing is owed, now and a moment later, and nothing has come that nobody has looked at.
+
+        Guards against a request that comes in that moment, or lies unread: its connection was reset by the
+        end of the process, with no answer.
+        """
+        if not settled() or self.network.unseen():
+            return False
+        await asyncio.sleep(LAST_LOOK_S)
+        return settled() and not self.network.unseen()
 
     async def _end_dialogs(self, front: SipFront, hurry: asyncio.Event) -> None:
         """Wait for the dialogs that stand, and say for whom. What is left then is ended on both sides: the
@@ -321,17 +332,28 @@
         )  # fmt: skip
 
 
-async def run(config: Config, reread: Callable[[], Config]) -> None:
-    """Serve until SIGTERM, SIGINT or `quit`, then finish what was taken."""
+async def run(config: Config, reread: Callable[[], Config], hung_up: Callable[[], bool]) -> None:
+    """Serve until SIGTERM, SIGINT or `quit`, then finish what was taken. `hung_up` tells whether SIGHUP has
+    come since the configuration was read.
+    """
     service = Service(config, reread)
-    network, log, counters = service.network, service.log, service.counters
-    listening = service.listen()
-    service.follow()
+    try:
+        await _run(service, hung_up)
+    finally:  # also where it ends in a fault: the lines before it are what tells why
+        service.log.close()
+
+
+async def _run(service: Service, hung_up: Callable[[], bool]) -> None:
+    config, network, log, counters = service.config, service.network, service.log, service.counters
     stop = asyncio.Event()
-    for name in (signal.SIGTERM, signal.SIGINT):
+    for name in (signal.SIGTERM, signal.SIGINT):  # before anything can be taken
         network.loop.add_signal_handler(name, stop.set)
+    listening = service.listen()
+    service.follow()
     network.loop.add_signal_handler(signal.SIGHUP, service.reload)
     network.loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", **counters.counts))
+    if hung_up():
+        service.reload()
     service.say = attach_console(network.loop, Console(service.core, stop.set, service.state))
     log("ready", name=config.name, listen=listening)
     network.spawn(service.begin())
@@ -344,4 +366,3 @@
     if service.fleet is not None:
         service.fleet.end()
     log("counters", lines_left_out=log.left_out, **counters.counts)
-    log.close()
--- a/stairhatch/settings.py
+++ b/stairhatch/settings.py
@@ -119,6 +119,7 @@
             may_cancel="cancel",
             may_advise_return="retry_after",
             longest_return_s="max_retry_after_s",
+            connect_timeout_s="connect_timeout_s",
         ),
     )
 
--- a/stairhatch/sip/flows.py
+++ b/stairhatch/sip/flows.py
@@ -67,6 +67,7 @@
     def receive(self, flow: Flow, message: sip.Message) -> None: ...
     def settle(self, flow: UdpFlow, data: bytes) -> bool: ...
     def malformed(self, flow: Flow, error: sip.SipError) -> None: ...
+    def caller_gone(self, flow: SipConnection) -> None: ...
     def flow_lost(self, flow: Flow) -> None: ...
 
 
@@ -218,8 +219,18 @@
         self.size = 0
         return data
 
+    def ended(self) -> None:
+        """The peer sends no more. What waits for its call is answered on what may be left of the connection;
+        the answer to what is out goes another way.
+        """
+        self.owner.caller_gone(self)
+        self._forsake()
+        self.owed.clear()
+        self.closing = True
+        self.wake()
+
     def lost(self) -> None:
-        """The connection has ended. Calls and dialogs live on: they are reached another way."""
+        """The connection has ended. What stands lives on, and is reached another way."""
         self._forsake()
         self.owner.counters.add("connections_lost")
 
--- a/stairhatch/sip/front.py
+++ b/stairhatch/sip/front.py
@@ -201,10 +201,23 @@
         told = feedback.callers.get(source) or self.gate.told(source, algorithm, now)
         return feedback.parameters(told, self.gate.budget.shed_share(now), now)
 
+    def caller_gone(self, flow: SipConnection) -> None:
+        """The peer of a connection has ended it, with set-ups unanswered on it: none that waits is sent on.
+
+        The answer to one that is out already is brought to where its Via says (RFC 3261, 18.2.2).
+        """
+        for key in list(flow.owed):
+            transaction = self.transactions.find(key)
+            leg = transaction.user if transaction is not None else None
+            if isinstance(leg, Leg) and leg.invite is transaction and leg.call is not None:
+                self.core.caller_away(leg.call)
+
     def flow_lost(self, flow: Flow) -> None:
         """A connection has ended, or is to be used no more."""
         if self.connections.get(flow.peer) is flow:  # the peer may have come again
             del self.connections[flow.peer]
+        if isinstance(flow, SipConnection):
+            self.caller_gone(flow)
         self.transactions.flow_lost(flow)
 
     def malformed(self, flow: Flow, error: sip.SipError) -> None:
@@ -680,7 +693,8 @@
 
     def flushed(self) -> bool:
         """Whether all output has been handed to the driver, and requests of ours have been answered."""
-        output = any(each.output for each in self.ports) or any(c.output for c in self.connections.values())
+        output = any(each.output for each in self.ports)
+        output = output or any(each.output or each.writing for each in self.connections.values())
         return not output and not self.ours
 
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -306,13 +306,19 @@
     def __init__(self, folder: Path, *arguments: str, keeps: tuple[int, ...] = (), **environ: str) -> None:
         self.path = folder  # of the configuration, once there is one
         self.log = folder / f"log-{time.monotonic_ns()}.txt"
-        env = {**os.environ, "STAIRHATCH_TRACE": "1", "TMPDIR": str(folder), **environ}
         with self.log.open("wb") as file:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "stairhatch", *arguments],
-                cwd=ROOT, env=env, stdin=subprocess.PIPE, stdout=file, stderr=file,
-                pass_fds=keeps,
-            )  # fmt: skip
+            self.start(folder, file, *arguments, keeps=keeps, **environ)
+
+    def start(
+        self, folder: Path, output: Any, *arguments: str, keeps: tuple[int, ...] = (), **environ: str
+    ) -> None:
+        """Start the process, with its lines to a file or a pipe."""
+        env = {**os.environ, "STAIRHATCH_TRACE": "1", "TMPDIR": str(folder), **environ}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "stairhatch", *arguments],
+            cwd=ROOT, env=env, stdin=subprocess.PIPE, stdout=output, stderr=output,
+            pass_fds=keeps,
+        )  # fmt: skip
 
     @classmethod
     def on_platform(
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,500 @@
+"""Stories of ends that cross something: a caller who leaves while the call waits, a connection that is closed
+under a request, a restart and a reload at the wrong instant. Each crossing is forced: a peer waits for the
+program's own bytes, or for its line in the log, and then acts. The program runs under settings that share no
+name or number with any deployment.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import struct
+import threading
+from itertools import pairwise
+
+import pytest
+import uvloop
+
+from stairhatch import service as service_module
+from stairhatch.config import Config
+from stairhatch.node import message as sip
+from stairhatch.node.directory import PACE_S, Directory
+from stairhatch.node.net import Bounds, Network
+from stairhatch.node.trunk_front import TrunkFront
+from stairhatch.service import Service
+from stairhatch.settings import settings_from
+
+from .peers import (
+    PATIENCE_S,
+    Caller,
+    Coordinator,
+    Inside,
+    Program,
+    RosterServer,
+    free_port,
+    instance,
+    platform_config,
+    sip_headers,
+    until,
+)
+
+IDS = iter(f"{n:016x}" for n in range(0xE0D0001, 0xE0D9999))
+SILENT, RESET = RosterServer.silent, RosterServer.ends(41)
+TIDE = {
+    "balancers": 1,
+    "classes": [
+        {"name": "ebb", "aim_s": 3.1, "hard_limit_s": 17.0, "importance": 7.0, "late_worth": 0.45},
+        {"name": "flood", "aim_s": 0.7, "hard_limit_s": 5.3, "importance": 0.3, "late_worth": 0.0},
+    ],
+    "family_info": {"allowed_pools": [[31, 47], [31]], "clear_wait_s": 0.37, "retransmit_s": 0.0},
+    "load_report": {"names": ["depth", "can_take"]},
+    "permissions": {
+        "send_cap": 3, "cancel": True, "retry_after": True, "max_retry_after_s": 1.1,
+        "connect_timeout_s": 11.0,
+    },
+    "safety": {"answer_slack_s": 0.03, "drain_grace_s": 0.6, "cold_from": 0.55, "fall_multiple": 4.0},
+}  # fmt: skip
+
+
+@pytest.fixture
+def stage(tmp_path):
+    """Starts a program of either front before roster servers with the given scripts; ends it afterwards."""
+    started = []
+
+    def start(*scripts, front="platform", servers=None):
+        servers = servers or [RosterServer(script) for script in scripts]
+        lines = [
+            instance(f"s-{cell}", each.port, cell) for cell, each in zip((31, 47), servers, strict=False)
+        ]
+        if front == "platform":
+            program = Program.on_platform(tmp_path, Coordinator(*lines), TIDE)
+        else:
+            servers += [RosterServer(script) for script in scripts]  # the file lists two
+            program = Program.as_appliance(tmp_path, *servers)
+        started.append(program)
+        return program, servers
+
+    yield start
+    for program in started:
+        program.kill()
+
+
+def leave(caller, ident, by, front="platform"):
+    """The caller gives its open set-up up, in one of the ways that there are."""
+    if by == "cancel" and front == "platform":
+        caller.send("CANCEL", "sip:x@net", {"call-id": ident, "cseq": "1 CANCEL"})
+    elif by == "cancel":
+        headers = sip_headers("CANCEL", "1", f"z9hG4bK{ident}", ident, caller.host, "TCP")
+        caller.send("CANCEL", "sip:5@net", headers)
+    elif by == "half-close":
+        caller.sock.shutdown(socket.SHUT_WR)
+    elif by == "close":
+        caller.close()
+    else:  # reset
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        caller.sock.shutdown(socket.SHUT_RD)  # frees the thread that reads
+        until(lambda: caller.closed)
+        caller.sock.close()
+
+
+def ask(program, front, by_udp=False):
+    """A caller with a set-up of its own; returns both."""
+    caller, ident = Caller(program.address, udp=by_udp), next(IDS)
+    if front == "platform":
+        caller.invite(ident, "ebb", 15_000)
+    else:
+        transport = "UDP" if by_udp else "TCP"
+        headers = sip_headers("INVITE", "1", f"z9hG4bK{ident}", ident, caller.host, transport)
+        caller.send("INVITE", "sip:5@net", headers, b"d")
+    return caller, ident
+
+
+def starts(*servers):
+    """The ids of the set-ups that roster servers got."""
+    return [message["tag"] for server in servers for message in server.of("START")]
+
+
+# ---- the caller leaves ----
+
+
+@pytest.mark.parametrize("front", ["platform", "appliance"])
+@pytest.mark.parametrize("by", ["cancel", "close", "half-close", "reset"])
+def test_who_leaves_while_the_call_waits_is_not_sent_on(stage, by, front):
+    """Guards against a call set up for nobody: its caller left in the pause after a reset. A second caller,
+    whose call waits the same pause from later on and is sent again, shows when the first would have been.
+    """
+    program, servers = stage(RESET, front=front)
+    caller, _ = ask(program, front)
+    until(lambda: [line for line in program.lines("outcome") if line["ending"] == "reset"], "the pause")
+    (first,) = starts(*servers)
+    leave(caller, next(iter([m.get("call-id") for _, m in caller.got] or [first])), by, front)
+    until(lambda: program.lines("left") or program.lines("answer"), "that it is known to have left")
+    assert len(program.lines("outcome")) == 1, "it left within the pause"
+    ask(program, front)
+    until(lambda: len([tag for tag in starts(*servers) if tag != first]) == 2, "the other sent again")
+    assert starts(*servers).count(first) == 1
+    if by == "half-close":  # it still reads, and is told once
+        until(lambda: caller.closed, "the end of the connection")
+        finals = [m.status for _, m in caller.got if m.status >= 200 and m.cseq()[1] == "INVITE"]
+        assert len(finals) == 1 and finals[0] in (480, 503)
+
+
+@pytest.mark.parametrize("by", ["close", "half-close", "reset"])
+def test_a_sip_caller_who_leaves_while_the_set_up_is_out_has_no_further_one(stage, by):
+    """Guards against the other order on the appliance, where what is out may still stand: it is the last."""
+    program, servers = stage(SILENT, front="appliance")
+    caller, _ = ask(program, "appliance")
+    until(lambda: starts(*servers))
+    (first,) = starts(*servers)
+    leave(caller, first, by, "appliance")
+    until(lambda: "callers_away" in counted(program), "that it is known to have gone")
+    for server in servers:
+        server.script = RESET
+    server = next(each for each in servers if starts(each))
+    server.say("FINISH", first, rc=41)
+    until(lambda: program.lines("answer"), "its final answer")
+    ask(program, "appliance")
+    until(lambda: len(starts(*servers)) >= 3, "the other sent again")
+    assert starts(*servers).count(first) == 1
+
+
+@pytest.mark.parametrize("by", ["cancel", "close", "half-close", "reset"])
+def test_who_leaves_while_the_set_up_is_out_is_given_up_and_not_sent_again(stage, by):
+    """Guards against the other order: the server's reset comes once the caller has left."""
+
+    def script(message, send):
+        if message["verb"] == "FINISH":
+            send("FINISH", message["tag"], rc=41)  # crosses what it was told
+
+    program, (server,) = stage(script)
+    caller, ident = ask(program, "platform")
+    until(lambda: starts(server) == [ident])
+    leave(caller, ident, by)
+    until(lambda: [m for m in server.of("FINISH") if m["tag"] == ident], "that it is given up")
+    server.script = RESET
+    ask(program, "platform")
+    until(lambda: len(starts(server)) == 3, "the other sent again")
+    assert starts(server).count(ident) == 1
+
+
+@pytest.mark.parametrize("by", ["cancel", "close", "half-close", "reset"])
+def test_who_leaves_while_the_link_comes_up_is_not_sent_on(stage, by):
+    """Guards against set-ups that lie in a link's queue until it is up. Its listener's queue is full, so that
+    the link can't come up before the story takes the connections in it.
+    """
+    gate = socket.socket()
+    gate.bind(("127.0.0.1", 0))
+    gate.listen(0)
+    full = [socket.socket() for _ in range(3)]
+    for each in full:
+        each.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            each.connect(gate.getsockname())
+    shut = RosterServer.__new__(RosterServer)
+    shut.script, shut.listener, shut.port, shut.got, shut.links = None, gate, gate.getsockname()[1], [], []
+    shut.script = RosterServer.answers
+    program, _ = stage(servers=[shut])
+    caller, ident = ask(program, "platform")
+    until(lambda: program.lines("taken"))
+    leave(caller, ident, by)
+    until(lambda: program.lines("left"))
+    assert not program.lines("attempt") and not program.lines("reached"), "it left before the link was up"
+    other, stays = ask(program, "platform")
+    until(lambda: len(program.lines("taken")) == 2)
+    threading.Thread(target=shut._accept, daemon=True).start()
+    other.expect(stays, 200)
+    assert starts(shut) == [stays]
+    assert not program.lines("unreached"), "the settings' time to connect holds, and no other"
+    for each in full:
+        each.close()
+
+
+def test_a_set_up_that_is_read_after_its_cancel_is_not_sent_on(stage):
+    """Guards against a set-up that lay unread on one connection while its CANCEL was read on another."""
+    program, (server,) = stage(None)
+    ident, early, late = next(IDS), program.caller(), program.caller()
+    early.send("CANCEL", "sip:x@net", {"call-id": ident, "cseq": "1 CANCEL"})
+    early.expect(ident, 481)
+    late.invite(ident, "ebb")
+    late.expect(ident, 480)
+    other, stays = ask(program, "platform")
+    other.expect(stays, 200)
+    assert starts(server) == [stays]
+
+
+def test_an_answer_finds_a_sip_caller_whose_connection_closed_once_the_set_up_was_out(stage):
+    """Guards against a call that stands and is told to nobody: the Via says where (RFC 3261, 18.2.2)."""
+    program, servers = stage(SILENT, front="appliance")
+    home = socket.create_server(("127.0.0.1", 0))
+    caller, call = Caller(program.address), next(IDS)
+    host = f"127.0.0.1:{home.getsockname()[1]}"
+    caller.send("INVITE", "sip:75@net", sip_headers("INVITE", "1", f"z9hG4bK{call}", call, host, "TCP"), b"d")
+    until(lambda: starts(*servers))
+    caller.close()
+    until(lambda: "callers_away" in counted(program), "that it is known to have gone")
+    server = next(each for each in servers if starts(each))
+    server.say("STARTED", starts(server)[0], blob="late")
+    home.settimeout(PATIENCE_S)
+    link, _ = home.accept()
+    link.settimeout(PATIENCE_S)
+    assert link.recv(65536).startswith(b"SIP/2.0 200")
+    link.close()
+    home.close()
+
+
+def counted(program):
+    """The counters as the program tells them when asked by signal."""
+    before = len(program.lines("counters"))
+    program.process.send_signal(signal.SIGUSR1)
+    until(lambda: len(program.lines("counters")) > before)
+    return program.lines("counters")[-1]
+
+
+# ---- the connection is closed ----
+
+
+def test_a_set_up_outlives_what_can_not_be_read_behind_it(stage):
+    """Guards against a good set-up lost with its connection: what came behind it on the same was noise."""
+    program, (server,) = stage(SILENT)
+    caller, ident = ask(program, "platform")
+    until(lambda: starts(server) == [ident])
+    caller.raw(b"\x00\x01 noise without sense\r\n\r\n")
+    until(lambda: program.lines("malformed"), "that the noise has been read")
+    server.say("STARTED", ident, blob="kept")
+    assert caller.expect(ident, 200).body == b"kept"
+    until(lambda: caller.closed, "the end of the connection")
+
+
+def test_a_message_that_never_comes_whole_takes_no_set_up_with_it():
+    """Guards against the same where the rest of a message never comes: its time is shorter than a call's."""
+    inside = Inside()
+    front = TrunkFront(inside.core)
+    connection, ident = front.connect(), next(IDS)
+    connection.receive(trunk_invite(ident, "read-roster") + trunk_invite(next(IDS), "read-roster")[:40])
+    assert inside.written and connection.partial()
+    connection.expire()
+    connection.pull()
+    assert connection.closing and not connection.done()
+    inside.stand()
+    assert b"SIP/2.0 200" in connection.pull() and connection.done()
+
+
+def trunk_invite(ident, kind="ebb"):
+    """The bytes of the platform's set-up."""
+    headers = {"call-id": ident, "cseq": "1 INVITE", "call-kind": kind, "answer-within": "4000"}
+    return sip.request("INVITE", "sip:7f3a9c21e0b4d655@net", list(headers.items()), b"d")
+
+
+@pytest.mark.parametrize("first", ["request", "newcomer"])
+def test_a_request_read_in_the_turn_in_which_a_newcomer_needs_room_is_not_thrown_away(first):
+    """Guards against a caller put out as idle whose request the loop has read, but not yet given to its
+    machine. Both come within one turn of the loop, in either order; the listener has room for one.
+    """
+
+    async def story():
+        inside = Inside()
+        inside.core.clock = asyncio.get_running_loop().time
+        network = Network(inside.core)
+        front = TrunkFront(inside.core)
+        sock = socket.create_server(("127.0.0.1", 0))
+        listening = network.listen(sock, front.connect, Bounds(1, young_s=0.05))
+        old = socket.create_connection(sock.getsockname())
+        while not listening.taken:
+            await asyncio.sleep(0.001)
+        one = next(iter(listening.taken))
+        while one.buffer is None or network.loop.time() <= one.last + 0.05:
+            await asyncio.sleep(0.001)  # its reader waits, and it is old enough to be put out
+        new = socket.socket()
+        new.setblocking(False)
+        ident = next(IDS)
+
+        def both():  # within one turn: the loop finds both when it looks next
+            if first == "request":
+                old.sendall(trunk_invite(ident, "read-roster"))
+            with contextlib.suppress(BlockingIOError):
+                new.connect(sock.getsockname())
+            if first != "request":
+                old.sendall(trunk_invite(ident, "read-roster"))
+
+        both()
+        for _ in range(500):
+            await asyncio.sleep(0.001)
+            if inside.written or one not in listening.taken:
+                break
+        assert [each.call.offer.ident for each in inside.written] == [ident]
+        assert one in listening.taken and not one.machine.closing
+        old.close()
+        new.close()
+        for task in list(network.tasks):
+            task.cancel()
+        await asyncio.sleep(0.01)
+        listening.close()
+
+    uvloop.run(story())
+
+
+# ---- the end of the program ----
+
+
+def test_the_end_waits_for_what_is_being_written():
+    """Guards against an answer, or a release, cut in two by the end: its peer reads slowly."""
+    inside = Inside()
+    front = TrunkFront(inside.core)
+    connection = front.connect()
+    assert front.flushed()
+    connection.writing = True
+    assert not front.flushed()
+
+
+def test_a_request_that_comes_at_the_last_look_is_answered(monkeypatch):
+    """Guards against a connection reset by the end with a request unread on it. The caller sends when the
+    program has found that nothing is owed, for the second time.
+    """
+    monkeypatch.setattr(service_module, "STAY_S", 0.0)
+    answers = []
+
+    async def story():
+        known = {"index": 0, "updates": []}
+        config = Config("n", settings_from(TIDE)[0], listen=("127.0.0.1", 0), known=known)
+        service = Service(config, lambda: config)
+        service.listen()
+        service.follow()
+        service.core.turn_away_s = 0.0
+        caller = socket.create_connection(service.callers[0].sock.getsockname())
+        while not service.callers[0].taken:
+            await asyncio.sleep(0.001)
+        settled, found = service.core.settled, []
+
+        def watched():
+            found.append(settled())
+            if found.count(True) == 2:
+                caller.sendall(trunk_invite(next(IDS)))
+            return found[-1]
+
+        service.core.settled = watched
+        await asyncio.wait_for(service.end(asyncio.Event()), PATIENCE_S)
+        assert found.count(True) > 2, "the crossing took place"
+        caller.setblocking(False)
+        answers.append(caller.recv(65536))
+        caller.close()
+        service.log.close()
+
+    asyncio.run(story())
+    assert answers[0].startswith(b"SIP/2.0 503")
+
+
+def test_the_end_comes_though_nobody_reads_the_log(tmp_path):
+    """Guards against a program that never ends, or ends in a fault: the pipe that its lines go to is full."""
+    server, port, door = RosterServer(), free_port(), free_port()
+    config = platform_config(Coordinator(instance("s-31", server.port, 31)), port, door, TIDE)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config))
+    reader, writer = os.pipe()
+    program = Program.__new__(Program)
+    program.start(tmp_path, writer, RELAY_CONFIG=str(path))
+    program.address, program.door = ("127.0.0.1", port), ("127.0.0.1", door)
+    try:
+        until(lambda: can_connect(program.door))
+        program.serves()
+        caller = program.caller()
+        os.set_blocking(writer, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writer, b"x" * 512)  # the pipe is full from here on ...
+        os.set_blocking(writer, True)
+        for _ in range(5):  # ... and the program's own lines wait
+            ident = next(IDS)
+            caller.invite(ident, "ebb")
+            caller.expect(ident, 200)
+        assert program.stop() == 0
+    finally:
+        program.kill()
+        os.close(reader)
+        os.close(writer)
+
+
+def can_connect(address):
+    """Whether somebody listens there."""
+    with contextlib.suppress(OSError), socket.create_connection(address):
+        return True
+    return False
+
+
+# ---- reloads and the list ----
+
+
+@pytest.mark.parametrize("ignored", [False, True], ids=["as started by hand", "as the deploy file starts it"])
+def test_a_reload_that_crosses_the_start_is_carried_out(tmp_path, ignored):
+    """Guards against a softswitch that follows a coordinator that is no more: SIGHUP came when its first
+    configuration had been read and its own handler did not stand yet. The file is a pipe: the program is
+    known to be reading it when the signal goes.
+    """
+    old, new = Coordinator(), Coordinator(instance("s-31", RosterServer().port, 31))
+    port, door = free_port(), free_port()
+    path, later = tmp_path / "config.json", tmp_path / "later.json"
+    later.write_text(json.dumps(platform_config(new, port, door, TIDE)))
+    os.mkfifo(path)
+    before = signal.signal(signal.SIGHUP, signal.SIG_IGN) if ignored else None
+    program = Program(tmp_path, RELAY_CONFIG=str(path))
+    if before is not None:
+        signal.signal(signal.SIGHUP, before)
+    try:
+        with path.open("w") as pipe:  # returns once the program has opened its end
+            pipe.write(json.dumps(platform_config(old, port, door, TIDE)))
+            pipe.flush()
+            later.rename(path)
+            program.process.send_signal(signal.SIGHUP)
+        until(lambda: program.lines("reload") or program.process.poll() is not None, "the reload")
+        assert program.lines("reload")[0]["coordinator"].endswith(f":{new.port}")
+        until(lambda: new.asked, "a question to the new coordinator")
+    finally:
+        program.kill()
+
+
+def test_nothing_of_the_old_settings_is_left_after_a_reload(stage):
+    """Guards against another customer's figures: other classes, pause and most attempts hold at once."""
+    program, (server,) = stage(RESET)
+    caller, ident = ask(program, "platform")
+    until(lambda: caller.finals(ident))
+    assert starts(server).count(ident) == 3, "the old most attempts"
+    config = json.loads(program.path.read_text())
+    settings = config["settings"]
+    slack = {"name": "slack", "aim_s": 6.0, "hard_limit_s": 31.0, "importance": 2.0, "late_worth": 0.9}
+    settings["classes"] = [slack]
+    settings["family_info"] |= {"allowed_pools": [[31]], "clear_wait_s": 0.83}
+    settings["permissions"] |= {"send_cap": 2}
+    assert program.reload(json.dumps(config))["result"] == "taken"
+    ident = next(IDS)
+    caller.invite(ident, "slack", 20_000)
+    until(lambda: caller.finals(ident))
+    times = [at for at, message in server.got if message["verb"] == "START" and message["tag"] == ident]
+    assert len(times) == 2 and all(b - a >= 0.83 for a, b in pairwise(times))
+
+
+def test_an_older_number_of_the_list_is_told_and_changes_nothing():
+    """Guards against a list that goes quiet unseen, and events taken twice, when a coordinator has lost its
+    memory; and against a core spent on one that answers at once with nothing new.
+    """
+    inside, told = Inside(), []
+    inside.core.log = lambda event, **fields: told.append((event, fields))
+    directory = Directory(inside.core, ("127.0.0.1", 1), 9)
+
+    def answer(index):
+        body = json.dumps({"index": index, "updates": []}).encode()
+        directory.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    directory.connected()
+    assert b"follow=9" in directory.pull()
+    answer(9)
+    directory.pull()
+    answer(4)
+    assert directory.after == 9 and [fields["why"] for event, fields in told if event == "directory"]
+    assert not directory.pull(), "it answered at once: the next question waits"
+    inside.run(PACE_S + 0.01)
+    assert b"follow=9" in directory.pull()
+    answer(4)
+    assert len([event for event, _ in told if event == "directory"]) == 1, "told once"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -540,7 +540,7 @@
 # ---- the long day ----
 
 
-def test_a_flood_of_one_kind_of_line_is_cut_and_counted(capsys):
+def test_a_flood_of_one_kind_of_line_is_cut_and_counted(capfd):
     """Guards against a log that takes more of the processor than the calls, at a hostile peer's will."""
     now = [1.0]
     log = Log("stairhatch", "host", lambda: now[0])
@@ -549,7 +549,7 @@
     now[0] = 2.5
     log("malformed", side="caller")
     log.close()
-    lines = capsys.readouterr().err.splitlines()
+    lines = capfd.readouterr().err.splitlines()
     assert len(lines) == MOST_WARNINGS + 1 and lines[-1].endswith("left_out_before=480")
 
 
