Tell a caller whose CANCEL crossed its answer, and open another link where one breaks under calls

Cause: trunk_front.py, CANCEL: caller_left on a call that stands releases it at the roster server and says nothing to the caller, who had been answered. Now the caller is told too.

Found in reading, not seen: roster.py lost(): an end under way on a link passed over, when that breaks, came nowhere else: the server sends it again on the next connection that is opened, and none was. One is opened now.

--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -238,6 +238,7 @@
         if old in self.left and old.heard_at < since - APART_S:
             self.core.counters.add("links_dead")
             self.core.log("link_dead", server=old.server.listing.instance, open=len(old.open))
+            old.stood.clear()  # their ends come again on the one that is opened below
             old.abort()
             in_use = self.links.get(old.server.id)
             if in_use is not None:  # the doubt was right: the next one need not wait
@@ -391,7 +392,12 @@
             core.cut_standing(self.server, before=core.clock() + 1)
 
     def lost(self) -> None:
-        """The connection broke: the set-ups open on it are reset."""
+        """The connection broke: the set-ups open on it are reset.
+
+        Another is opened where it was passed over and calls stand that were set up on it. Guards against an
+        end that was under way when it broke: it comes again on the next connection that is opened, and the
+        one in use is open already.
+        """
         self.up_at = math.inf
         in_use = self.side.links.get(self.server.id)
         self.server.connected = in_use is not None and in_use.up_at < math.inf
@@ -399,6 +405,8 @@
         if in_use is not None and self.server.listing.standing is not Standing.GONE:
             in_use.queue.extendleft(reversed(unsure))
             in_use.wake()
+        if self in self.side.left and not self.done() and any(map(self.side.core.stands, self.stood)):
+            self.side.core.at(self.side.core.clock() + AGAIN_S, partial(self.side._again, self.server))
         broken, self.open = list(self.open.values()), {}
         self.side.core.log("link_lost", server=self.server.listing.instance, open=len(broken))
         for attempt in broken:
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -12,7 +12,7 @@
 
 from stairhatch.node import message as sip
 from stairhatch.node import roster
-from stairhatch.node.core import AWAY_S, Call, Core, Machine, Offer
+from stairhatch.node.core import AWAY_S, ENDED, Call, Core, Machine, Offer
 from stairhatch.node.message import called_number, release_cause
 
 MOST_OUTPUT = 128 * 1024  # a caller that reads so much too slowly is cut off
@@ -346,8 +346,12 @@
             case "CANCEL":
                 held = front.calls.get(ident)
                 if held is not None:
+                    stood = front.core.stands(ident)
                     held.connection._give_up(held)
                     held.connection.wake()  # it may have ended but for this
+                    if stood:  # it crossed the answer: its caller may take the call to stand, and is told
+                        front.core.counters.add("cancels_crossed")
+                        front.release(ident, ENDED, held.connection)
                 elif not front.core.was_over(ident):
                     front.cancelled_early(ident)
                 self.respond(message, 200 if held is not None else 481, [])
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -143,6 +143,20 @@
         assert len(finals) == 1 and finals[0] in (480, 503)
 
 
+def test_a_cancel_that_crosses_the_answer_ends_the_call_on_both_sides(stage):
+    """Guards against a call that is over and whose caller is not told: its CANCEL came when the answer had
+    been written. The caller sends it once it has the answer, as one does whose time ran out on its way.
+    """
+    program, (server,) = stage(None)
+    caller, ident = ask(program, "platform")
+    caller.expect(ident, 200)
+    leave(caller, ident, "cancel")
+    caller.answer(caller.expect(ident, "BYE"), 200)
+    until(lambda: [m for m in server.of("FINISH") if m["tag"] == ident], "the release at the server")
+    assert counted(program)["cancels_crossed"] == "1"
+    assert caller.finals(ident) == [200]
+
+
 @pytest.mark.parametrize("by", ["close", "half-close", "reset"])
 def test_a_sip_caller_who_leaves_while_the_set_up_is_out_has_no_further_one(stage, by):
     """Guards against the other order on the appliance, where what is out may still stand: it is the last."""
