--- a/stairhatch/config/appliance.py
+++ b/stairhatch/config/appliance.py
@@ -150,6 +150,7 @@
     cancel: bool = False
     retry_after: bool = True
     max_retry_after_s: Seconds = 0.0
+    connect_timeout_s: Annotated[float, Meta(gt=0)] = 0.5
 
 
 class LoadTable(_Table, frozen=True):
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -108,10 +108,14 @@
         now = self.core.clock()
         if self.core.drain_since is not None:
             release.since = now  # kept for the next caller, however long the drain
-        if now - release.since > RELEASE_KEPT_S or len(release.tried) >= MOST_TRIES:
+        if now - release.since > RELEASE_KEPT_S:
             self.releases.pop(ident, None)
             self.core.counters.add("releases_unheard")
             return
+        if len(release.tried) >= MOST_TRIES:  # nobody here reads: kept for whoever connects next
+            release.tried.clear()
+            self.core.at(release.since + RELEASE_KEPT_S + 0.01, partial(self._check, ident, release, 0))
+            return
         own = first is not None and first in self.connections and not first.closing
         connection = first if own else self._listener(release)
         if connection is not None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -351,6 +351,23 @@
     uvloop.run(story())
 
 
+def test_a_release_that_nobody_hears_is_kept_for_who_connects_next():
+    """Guards against an end of a call that is dropped after four tries at callers who don't read."""
+    inside = Inside()
+    front = TrunkFront(inside.core)
+    deaf, ident = front.connect(), next(IDS)
+    deaf.receive(trunk_invite(ident, "read-roster"))
+    inside.stand()
+    inside.core.finished(inside.written[-1].server, ident, 16, "", inside.report())
+    inside.run(3.0)
+    assert deaf.pull().count(b"BYE sip:") == 4
+    late = front.connect()
+    inside.run(0.2)
+    assert late.pull().count(b"BYE sip:") == 1
+    inside.run(60.0)
+    assert not front.releases and inside.core.counters.counts["releases_unheard"] == 1
+
+
 # ---- the end of the program ----
 
 
