--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -24,6 +24,7 @@
 from stairhatch.node import message as sip
 from stairhatch.node.directory import PACE_S, Directory
 from stairhatch.node.net import Bounds, Network
+from stairhatch.node.roster import RosterSide
 from stairhatch.node.trunk_front import TrunkFront
 from stairhatch.service import Service
 from stairhatch.settings import settings_from
@@ -271,15 +272,20 @@
 # ---- the connection is closed ----
 
 
-def test_a_set_up_outlives_what_can_not_be_read_behind_it(stage):
+@pytest.mark.parametrize("by", ["its answer", "its CANCEL"])
+def test_a_set_up_outlives_what_can_not_be_read_behind_it(stage, by):
     """Guards against a good set-up lost with its connection: what came behind it on the same was noise."""
     program, (server,) = stage(SILENT)
     caller, ident = ask(program, "platform")
     until(lambda: starts(server) == [ident])
     caller.raw(b"\x00\x01 noise without sense\r\n\r\n")
     until(lambda: program.lines("malformed"), "that the noise has been read")
-    server.say("STARTED", ident, blob="kept")
-    assert caller.expect(ident, 200).body == b"kept"
+    assert not caller.closed
+    if by == "its answer":
+        server.say("STARTED", ident, blob="kept")
+        assert caller.expect(ident, 200).body == b"kept"
+    else:  # by another connection: nothing more is read on this one
+        leave(program.caller(), ident, "cancel")
     until(lambda: caller.closed, "the end of the connection")
 
 
@@ -380,14 +386,24 @@
 # ---- the end of the program ----
 
 
-def test_the_end_waits_for_what_is_being_written():
+@pytest.mark.parametrize("to", ["caller", "SIP caller", "roster server"])
+def test_the_end_waits_for_what_is_being_written(to):
     """Guards against an answer, or a release, cut in two by the end: its peer reads slowly."""
-    inside = Inside()
-    front = TrunkFront(inside.core)
-    connection = front.connect()
-    assert front.flushed()
-    connection.writing = True
-    assert not front.flushed()
+    inside, links = Inside(), []
+    if to == "caller":
+        side = TrunkFront(inside.core)
+        machine = side.connect()
+    elif to == "SIP caller":
+        side = inside.front
+        machine = side.connector(side.config.tcp[0])(("127.0.0.1", 4000))
+    else:
+        side = RosterSide(inside.core, links.append)
+        side.listed(inside.core.servers[1])
+        machine = links[0]
+        machine.connected()
+    assert side.flushed()
+    machine.writing = True
+    assert not side.flushed()
 
 
 def test_a_request_that_comes_at_the_last_look_is_answered(monkeypatch):
@@ -399,7 +415,8 @@
 
     async def story():
         known = {"index": 0, "updates": []}
-        config = Config("n", settings_from(TIDE)[0], listen=("127.0.0.1", 0), known=known)
+        settings = {**TIDE, "permissions": {**TIDE["permissions"], "retry_after": False}}
+        config = Config("n", settings_from(settings)[0], listen=("127.0.0.1", 0), known=known)
         service = Service(config, lambda: config)
         service.listen()
         service.follow()
@@ -425,6 +442,7 @@
 
     asyncio.run(story())
     assert answers[0].startswith(b"SIP/2.0 503")
+    assert b"come-back" not in answers[0].lower(), "these settings allow no advice"
 
 
 def test_the_end_comes_though_nobody_reads_the_log(tmp_path):
