Read what callers have sent before a set-up is written, also after a standstill

A wait for input that was stopped ends with EINTR, and the loop carries out due timers before it looks at a socket. A call whose pause ran out while the process stood still was sent on, though its caller's close, reset or CANCEL lay unread. The same after any stall; and what the loop had read came to its machine a turn later, so that a set-up could be written in between.

RosterLink.pull calls core.hear_callers before the first set-up that it hands out. net.Ears looks with one epoll call which sockets of callers have something (connections, listeners, datagram ports) and has these read, within bounds. Callers' connections are watched and their bytes used in the same step as they are read, in the loop's own turns too; the buffer that each held is gone. One test knew that buffer: it waits for the connection to be read instead, its crossing is the same.

--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -241,6 +241,7 @@
         self.leaving = False  # and all that was taken is answered
         self.turn_away_s = TURN_AWAY_S
         self.on_drain: Callable[[], None] = idle  # the driver ends what is idle
+        self.hear_callers: Callable[[], None] = idle  # read what they have sent until now; set by the driver
         self.before_cold: Callable[[], None] | None = None  # look whether the own number still holds
         self.orders: dict[str, Callable[..., str]] = {}  # more of the operators' orders, by their first word
         self._able = False
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -16,6 +16,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Protocol
 
 from stairhatch.node.core import Core, Machine, idle
@@ -39,6 +40,8 @@
 SO_TIMESTAMPNS, NOTES_BYTES, STAMP = 35, 64, struct.Struct("@qq")  # Linux; elsewhere nothing is noted
 MOST_WAIT_S = 5.0  # a clock that was set makes no wait longer
 LINGER_S, LINGER_BYTES = 0.2, 256 * 1024  # what still comes is read after the last answer, so that it arrives
+HEARD_ROUNDS = 4  # before set-ups are written: a connection is taken, its bytes are read, then their end
+HEARD_BYTES = 64 * 1024  # and no further round is begun beyond so much, so that others have their turn
 
 
 Place = tuple[str, int]
@@ -86,27 +89,22 @@
 
 @dataclass(eq=False, slots=True)
 class Taken:
-    """A connection taken from a caller."""
+    """A connection of a caller."""
 
     machine: Machine
     sock: socket.socket
     since: float
     last: float = 0.0  # when bytes last came
     begun: float = 0.0  # since when the rest of a message is awaited; 0: it is not
-    buffer: bytearray | None = None  # that its reader waits with
+    over: asyncio.Future[bool] | None = None  # while it is read; then whether its peer may still send
+    lost: bool = False  # and its machine knows
 
     def __post_init__(self) -> None:
         self.last = self.since
 
     def unseen(self) -> bool:
-        """Whether bytes have come that its machine has not been given.
-
-        They lie unread, or the loop has read them into the buffer in this turn and comes to the reader only
-        later in it: in between they are neither in the socket nor at the machine. The first byte, set to NUL
-        before each read, tells. Guards against a set-up that is thrown away with a connection that was held
-        to be idle, where a newcomer came in the same turn of the loop.
-        """
-        return bool(self.buffer and self.buffer[0]) or bool(unread(self.sock))
+        """Whether bytes have come that have not been read. What is read is given to the machine at once."""
+        return bool(unread(self.sock))
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,23 +128,33 @@
         self.network, self.sock, self.accept, self.bounds = network, sock, accept, bounds
         self.taken: OrderedDict[Taken, None] = OrderedDict()  # the longest idle comes first
         self.watched = self.closed = False
+        self.paused_until = 0.0
 
     def open(self) -> None:
         """Begin to take connections."""
         if not self.closed and not self.watched:
             self.watched = True
             self.network.loop.add_reader(self.sock, self._ready)
+            self.network.ears.add(self.sock, self._heard)
             self.network.spawn(self._sweep())
 
     def close(self) -> None:
         """Take no more. Only this process's hold on the socket ends; what was taken goes on."""
         if self.watched:
             self.network.loop.remove_reader(self.sock)
+            self.network.ears.drop(self.sock)
         self.closed = True
         self.sock.close()
 
+    def _heard(self, events: int) -> int:
+        """Before set-ups are written: who waits to be taken may bring a CANCEL. None is put out for that."""
+        if len(self.taken) < self.bounds.most and self.network.loop.time() >= self.paused_until:
+            self._ready()
+        return 0
+
     def _pause(self, seconds: float) -> None:
         loop = self.network.loop
+        self.paused_until = loop.time() + seconds
         loop.remove_reader(self.sock)
         loop.call_later(seconds, lambda: None if self.closed else loop.add_reader(self.sock, self._ready))
 
@@ -175,9 +183,14 @@
         waits = self.watched and not self.closed and bool(select.select([self.sock], [], [], 0)[0])
         return waits or any(one.unseen() for one in self.taken if not one.machine.closing)
 
-    async def _serve(self, one: Taken) -> None:
+    def _serve(self, one: Taken) -> Coroutine[Any, Any, None]:
+        """It is read from here on, not only once its task has begun."""
+        self.network.attend(one, self.taken)
+        return self._carry(one)
+
+    async def _carry(self, one: Taken) -> None:
         try:
-            await self.network._run(one.sock, one.machine, one, self.taken)
+            await self.network._run(one.sock, one.machine, one)
         finally:
             self.taken.pop(one, None)
 
@@ -241,6 +254,54 @@
             machine.leave()
 
 
+class Ears:
+    """Sockets of callers, and a look at which of them have something to be read: one system call for all,
+    by a poll of our own beside the loop's. Where that can't be had, nothing is heard here, and what comes is
+    read by the loop alone.
+    """
+
+    def __init__(self, fault: Callable[[Exception, object], None]) -> None:
+        self.fault = fault
+        self.poll: select.epoll | select.poll | None = None
+        with contextlib.suppress(OSError):
+            self.poll = select.epoll() if hasattr(select, "epoll") else select.poll()
+        self.by_descriptor: dict[int, Callable[[int], int]] = {}
+
+    def add(self, sock: socket.socket, hear: Callable[[int], int]) -> None:
+        """Have `hear` called with the events, where there are any; it returns how many bytes it has read."""
+        descriptor = sock.fileno()
+        if self.poll is None or descriptor < 0:
+            return
+        for events in (select.POLLIN | select.POLLRDHUP, select.POLLIN):
+            with contextlib.suppress(OSError, ValueError):
+                self.poll.register(descriptor, events)
+                self.by_descriptor[descriptor] = hear
+                return
+
+    def drop(self, sock: socket.socket) -> None:
+        """Before it is closed."""
+        if self.poll is not None and self.by_descriptor.pop(sock.fileno(), None) is not None:
+            with contextlib.suppress(OSError, ValueError, KeyError):
+                self.poll.unregister(sock.fileno())
+
+    def hear(self) -> None:
+        """Have all read what has come until now, within bounds."""
+        size = 0
+        for _ in range(HEARD_ROUNDS):
+            try:
+                ready = self.poll.poll(0) if self.poll is not None else []
+            except OSError:
+                return
+            if not ready or size >= HEARD_BYTES:
+                return
+            for descriptor, events in ready:
+                hear = self.by_descriptor.get(descriptor)
+                try:
+                    size += hear(events) if hear is not None else 0
+                except Exception as error:  # noqa: BLE001 - the set-ups of others are to be written
+                    self.fault(error, hear)
+
+
 class Network:
     """The sockets of one softswitch."""
 
@@ -253,6 +314,9 @@
         self.emptying: asyncio.Task[None] | None = None
         core.on_drain = self.empty
         self.looked: Callable[[float], None] | None = None  # who watches the load
+        self.ears = Ears(self._fault)
+        self.inbox = memoryview(bytearray(BUFFER_BYTES))  # of callers: what is read is used at once
+        core.hear_callers = self.ears.hear
         self._timer: asyncio.TimerHandle | None = None
         core.wake = self._arm
         self._arm()
@@ -327,14 +391,78 @@
                 listening.end_idle()
             await asyncio.sleep(DRAIN_SWEEP_S)
 
-    async def _run(
-        self,
-        sock: socket.socket,
-        machine: Machine,
-        one: Taken | None = None,
-        taken: OrderedDict[Taken, None] | None = None,
-    ) -> None:
-        """Carry bytes both ways until either side ends."""
+    def attend(self, one: Taken, among: OrderedDict[Taken, None] | None = None) -> None:
+        """Read a caller's connection from now on: in the loop's turns, and before set-ups are written."""
+        one.sock.setblocking(False)
+        one.over = self.loop.create_future()
+        self.loop.add_reader(one.sock, self._hear, one, among)
+        self.ears.add(one.sock, partial(self._hear, one, among))
+
+    def _hear(self, one: Taken, among: OrderedDict[Taken, None] | None, events: int = 0) -> int:
+        """Give a machine what has come from its caller, once; returns how many bytes that were.
+
+        It is read and used in one step. Guards against bytes that the loop has read and that come to their
+        machine a turn later, behind a timer, a set-up written, or a caller put out as idle.
+        """
+        machine = one.machine
+        try:
+            size = one.sock.recv_into(self.inbox)
+            if size:
+                machine.receive(self.inbox[:size])
+                one.last = self.loop.time()
+                one.begun = (one.begun or one.last) if machine.partial() else 0.0
+                if among is not None and one in among:
+                    among.move_to_end(one)
+                if machine.done():
+                    self._heard_out(one, True)
+            else:
+                machine.ended()
+                self._heard_out(one, False)
+            return size
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError:
+            pass
+        except Exception as error:  # noqa: BLE001 - bytes that upset a machine must end their connection only
+            self._fault(error, machine)
+        machine.closing = True
+        self._heard_out(one, False)
+        self._lost(one)
+        return 0
+
+    def _heard_out(self, one: Taken, open_still: bool) -> None:
+        """No more is read from a caller, at least not for its machine."""
+        if one.over is not None and not one.over.done():
+            one.over.set_result(open_still)
+            self.loop.remove_reader(one.sock)
+            self.ears.drop(one.sock)
+
+    def _fault(self, error: Exception, owner: object) -> None:
+        self.core.counters.add("connection_faults")
+        self.core.log("fault", why=f"{type(error).__name__}: {error}", machine=type(owner).__name__)
+
+    @staticmethod
+    def _lost(one: Taken) -> None:
+        """Once: what is open on it is given up where the reset is read, and not when its task comes to it."""
+        if not one.lost:
+            one.lost = True
+            one.machine.lost()
+
+    async def _read(self, sock: socket.socket, machine: Machine) -> bool:
+        """Give a machine what comes until its peer ends (False) or it has had its last word (True)."""
+        buffer = self.pool.take()
+        try:
+            while size := await self.loop.sock_recv_into(sock, buffer):
+                machine.receive(memoryview(buffer)[:size])
+                if machine.done():
+                    return True
+        finally:
+            self.pool.give(buffer)
+        machine.ended()
+        return False
+
+    async def _run(self, sock: socket.socket, machine: Machine, one: Taken | None = None) -> None:
+        """Carry bytes both ways until either side ends; from a caller that `attend` reads, only to it."""
         sock.setblocking(False)
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -347,32 +475,19 @@
         machine.wake, machine.abort = wake.set, abort
         wake.set()
         writer = self.loop.create_task(self._write(sock, machine, wake, abort))
-        buffer = self.pool.take()
-        if one is not None:
-            one.buffer = buffer
         try:
-            while True:
-                buffer[0] = 0
-                size = await self.loop.sock_recv_into(sock, buffer)
-                if not size:
-                    machine.ended()
-                    if machine.closing or machine.done():  # its last words
-                        await asyncio.wait([writer], timeout=FLUSH_S)
-                    break
-                machine.receive(memoryview(buffer)[:size])
-                if machine.done():
-                    await asyncio.wait([writer], timeout=FLUSH_S)
-                    await self._linger(sock, buffer, machine)
-                    break
-                if one is not None and taken is not None and one in taken:
-                    one.last = self.loop.time()
-                    one.begun = (one.begun or one.last) if machine.partial() else 0.0
-                    taken.move_to_end(one)
+            if one is None or one.over is None:
+                open_still = await self._read(sock, machine)
+            else:
+                open_still = await one.over
+            if (machine.closing or machine.done()) and not (one and one.lost):  # its last words
+                await asyncio.wait([writer], timeout=FLUSH_S)
+            if open_still:
+                await self._linger(sock, machine)
         except OSError:
             pass
         except Exception as error:  # noqa: BLE001 - bytes that upset a machine must end their connection only
-            self.core.counters.add("connection_faults")
-            self.core.log("fault", why=f"{type(error).__name__}: {error}", machine=type(machine).__name__)
+            self._fault(error, machine)
         finally:
             machine.wake, machine.abort = idle, idle
             writer.cancel()
@@ -380,12 +495,14 @@
                 await asyncio.wait([writer])  # awaited itself, it hid that this task was cancelled meanwhile:
             finally:  # a link then dialled on for ever, and the program never ended
                 if one is not None:
-                    one.buffer = None
-                self.pool.give(buffer)
+                    self._heard_out(one, False)
                 sock.close()
-                machine.lost()
+                if one is None:
+                    machine.lost()
+                else:
+                    self._lost(one)
 
-    async def _linger(self, sock: socket.socket, buffer: bytearray, machine: Machine) -> None:
+    async def _linger(self, sock: socket.socket, machine: Machine) -> None:
         """Read on for a moment: closed with bytes unread, the connection would be reset under our answer.
         Only a machine that wants its peer's last words is given them.
         """
@@ -397,8 +514,13 @@
                 if machine.hears_out:
                     machine.receive(memoryview(buffer)[:size])
 
-        with contextlib.suppress(TimeoutError):
+        buffer = self.pool.take()
+        try:
             await asyncio.wait_for(discard(), LINGER_S)
+        except TimeoutError:
+            pass
+        finally:
+            self.pool.give(buffer)
 
     async def _write(
         self, sock: socket.socket, machine: Machine, wake: asyncio.Event, abort: Callable[[], None]
@@ -419,8 +541,7 @@
         except OSError:
             pass
         except Exception as error:  # noqa: BLE001 - a machine's fault ends its connection only
-            self.core.counters.add("connection_faults")
-            self.core.log("fault", why=f"{type(error).__name__}: {error}", machine=type(machine).__name__)
+            self._fault(error, machine)
         abort()
 
     async def _connect(self, address: Place, within_s: float = CONNECT_S) -> socket.socket:
@@ -444,11 +565,13 @@
             self.core.counters.add("callers_unreached")
             connection.lost()
             return
-        await self._run(sock, connection)
+        one = Taken(connection, sock, self.loop.time())
+        self.attend(one)
+        await self._run(sock, connection, one)
 
     # ---- datagrams ----
 
-    def datagrams(self, address: Place, port: Datagrams) -> socket.socket:
+    def datagrams(self, address: Place, port: Datagrams, callers: bool = False) -> socket.socket:
         """Take and send datagrams. uvloop 0.23 has no sock_recvfrom_into or sock_sendto (both raise
         NotImplementedError), so the socket is watched and read here, into one buffer of the pool.
         """
@@ -461,6 +584,8 @@
         with contextlib.suppress(OSError):  # the kernel notes when each came: how long it has waited is known
             sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
         self.loop.add_reader(sock, self._read_datagrams, sock, buffer, port)
+        if callers:
+            self.ears.add(sock, partial(self._read_datagrams, sock, buffer, port))
 
         def send() -> None:
             while port.output:
@@ -481,7 +606,10 @@
         port.wake = send
         return sock
 
-    def _read_datagrams(self, sock: socket.socket, buffer: bytearray, port: Datagrams) -> None:
+    def _read_datagrams(
+        self, sock: socket.socket, buffer: bytearray, port: Datagrams, events: int = 0
+    ) -> int:
+        total = 0
         for turn in range(64):  # then others have their turn
             try:
                 if turn or self.looked is None:
@@ -490,10 +618,12 @@
                     size, notes, _, peer = sock.recvmsg_into([buffer], NOTES_BYTES)
                     self._waited(notes)
             except BlockingIOError:
-                return
+                break
             except OSError:
                 continue  # an earlier datagram came back as unreachable
+            total += size
             port.receive(bytes(memoryview(buffer)[:size]), (peer[0], peer[1]))
+        return total
 
     def _waited(self, notes: list[tuple[int, int, bytes]]) -> None:
         """How long a datagram lay in the socket, told to whoever watches the load."""
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -413,11 +413,16 @@
             self.side.core.connection_lost(attempt)
 
     def pull(self) -> bytes:
-        """What is to be written now."""
-        core, out, size = self.side.core, [], 0
+        """What is to be written now. What callers have sent until now is read before the first set-up: some
+        of them may have left while this process stood still, or while the set-up waited here.
+        """
+        core, out, size, heard = self.side.core, [], 0, False
         while self.queue and size < PULLED and not self.spoilt:
             item = self.queue.popleft()
             if isinstance(item, Attempt):
+                if not heard:
+                    core.hear_callers()
+                    heard = True
                 left_ms = core.may_write(item)
                 if left_ms is None:
                     continue
--- a/stairhatch/service.py
+++ b/stairhatch/service.py
@@ -158,7 +158,7 @@
         front.dial = lambda connection: network.dial_caller(connection, connection.peer)
         told = []
         for port in front.ports:
-            network.datagrams(port.local, port)
+            network.datagrams(port.local, port, callers=True)
             told.append(f"udp:{host_port(port.local)}")
         for each in config.tcp:
             bounds = Bounds(config.connections, idle_s=config.idle_s)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -326,8 +326,8 @@
         while not listening.taken:
             await asyncio.sleep(0.001)
         one = next(iter(listening.taken))
-        while one.buffer is None or network.loop.time() <= one.last + 0.05:
-            await asyncio.sleep(0.001)  # its reader waits, and it is old enough to be put out
+        while one.over is None or network.loop.time() <= one.last + 0.05:
+            await asyncio.sleep(0.001)  # it is read, and old enough to be put out
         new = socket.socket()
         new.setblocking(False)
         ident = next(IDS)
