See the end of a caller's stream behind more bytes than are read at once

A caller may bring more than one buffer of set-ups and close: its first ones were sent on before the end of its stream was read, some turns later.

The look before a set-up is written asks for POLLRDHUP too, which tells a FIN that lies behind unread bytes; a reset is told as well. The machine is told at once (Machine.half_closed): what is open is given up and answered, as at the end of the stream, and what is read from then on until that end is answered without being sent on.

--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -65,6 +65,11 @@
         self.closing = True
         self.wake()
 
+    def half_closed(self) -> None:
+        """The peer has closed its side, or reset the connection. What it sent before may still lie unread: it
+        comes by `receive`, and then `ended`. The peer waits for no call any more.
+        """
+
     def ended(self) -> None:
         """The peer will send no more. A machine with something left to say sets `closing`: it is written."""
 
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -42,6 +42,7 @@
 LINGER_S, LINGER_BYTES = 0.2, 256 * 1024  # what still comes is read after the last answer, so that it arrives
 HEARD_ROUNDS = 4  # before set-ups are written: a connection is taken, its bytes are read, then their end
 HEARD_BYTES = 64 * 1024  # and no further round is begun beyond so much, so that others have their turn
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # epoll has the same; the peer closed, or reset
 
 
 Place = tuple[str, int]
@@ -96,6 +97,7 @@
     since: float
     last: float = 0.0  # when bytes last came
     begun: float = 0.0  # since when the rest of a message is awaited; 0: it is not
+    gone: bool = False  # its peer has closed, with bytes before that which may lie unread
     over: asyncio.Future[bool] | None = None  # while it is read; then whether its peer may still send
     lost: bool = False  # and its machine knows
 
@@ -399,13 +401,17 @@
         self.ears.add(one.sock, partial(self._hear, one, among))
 
     def _hear(self, one: Taken, among: OrderedDict[Taken, None] | None, events: int = 0) -> int:
-        """Give a machine what has come from its caller, once; returns how many bytes that were.
+        """Give a machine what has come from its caller, once; returns how many bytes that were. `events` tell
+        the end of a stream also where it lies behind more bytes than are read now.
 
         It is read and used in one step. Guards against bytes that the loop has read and that come to their
         machine a turn later, behind a timer, a set-up written, or a caller put out as idle.
         """
         machine = one.machine
         try:
+            if events & GONE and not one.gone:
+                one.gone = True
+                machine.half_closed()
             size = one.sock.recv_into(self.inbox)
             if size:
                 machine.receive(self.inbox[:size])
--- a/stairhatch/node/trunk_front.py
+++ b/stairhatch/node/trunk_front.py
@@ -207,6 +207,7 @@
         self.caller = False  # something other than a test has come on it, or nothing for a while
         self.heard = 0  # 1 once a release was heard on it
         self.faults = 0  # requests that could not be used
+        self.gone = False  # its peer has closed it; what came before may still be unread
         self.parser = sip.StreamParser()
 
     def owes(self) -> bool:
@@ -268,15 +269,22 @@
         return data
 
     def ended(self) -> None:
-        """The caller sends no more: it has left what is open, as with a close, which looks the same. Each is
-        answered once all the same, for one that only ended its side of the connection and still reads.
+        """The caller sends no more: it has left what is open, as with a close, which looks the same."""
+        self.half_closed()
+        self.closing = True
+        self.wake()
+
+    def half_closed(self) -> None:
+        """Each set-up is answered once all the same, for one that only ended its side of the connection and
+        still reads; those that lie unread before the end of the stream, as they are read.
+
+        Guards against set-ups sent on for who has left, where more than one buffer lay before the end.
         """
+        self.gone = True
         for held in list(self.open.values()):
             call = held.call
             self._give_up(held)
             held._answer(480 if call is None or self.front.core.harmless(call) else 500, [])
-        self.closing = True
-        self.wake()
 
     def _give_up(self, held: TrunkCall) -> None:
         """Nobody waits for this set-up any more."""
@@ -418,8 +426,8 @@
         if ident in front.calls or front.core.was_over(ident):
             self._unusable(message, 482)  # every set-up has an id of its own, a repeat too
             return
-        if ident in front.given_up:
-            del front.given_up[ident]
+        if self.gone or ident in front.given_up:
+            front.given_up.pop(ident, None)
             front.core.counters.add("calls_given_up_before")
             self.respond(message, 480, [])
             return
--- a/stairhatch/sip/flows.py
+++ b/stairhatch/sip/flows.py
@@ -150,6 +150,7 @@
         self.size = 0
         self.faults = 0
         self.parser = sip.StreamParser(stays=True)
+        self.gone = False  # its peer has closed it; what came before may still be unread
         self.owed: set[bytes] = set()  # transactions that await their final answer here
         self.dialogs = 0  # that stand on it
 
@@ -202,9 +203,11 @@
                 continue
             self._pong()
             if message is None:
-                return
+                break
             self.asked = True
             self.owner.receive(self, message)
+        if self.gone:
+            self.owner.caller_gone(self)
 
     def _pong(self) -> None:
         if self.parser.pings:
@@ -219,6 +222,11 @@
         self.size = 0
         return data
 
+    def half_closed(self) -> None:
+        """What lies unread before the end of the stream is read yet, and its set-ups are given up too."""
+        self.gone = True
+        self.owner.caller_gone(self)
+
     def ended(self) -> None:
         """The peer sends no more. What waits for its call is answered on what may be left of the connection;
         the answer to what is out goes another way.
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -36,16 +36,28 @@
         self.udp = self.way.startswith("UDP")
         self.ident, self.caller = next(IDS), Caller(self.program.address, udp=self.udp)
         self.transport = "UDP" if self.udp else "TCP"
+        self.invite(self.ident)
+
+    def invite(self, ident, size=0):
+        """One set-up."""
+        body = ident.encode().ljust(size, b".")
         if self.front == "platform":
-            self.caller.invite(self.ident, "ebb", 15_000, self.ident.encode())
+            self.caller.invite(ident, "ebb", 15_000, body)
         else:
-            self.caller.send("INVITE", "sip:5@net", self.headers("INVITE"), self.ident.encode())
+            self.caller.send("INVITE", "sip:5@net", self.headers("INVITE", ident), body)
+
+    def more(self, size):
+        """One more set-up on its connection; returns its id."""
+        ident = next(IDS)
+        self.invite(ident, size)
+        return ident
 
-    def headers(self, method):
+    def headers(self, method, ident=""):
+        ident = ident or self.ident
         if self.front == "platform":
-            return {"call-id": self.ident, "cseq": f"1 {method}"}
+            return {"call-id": ident, "cseq": f"1 {method}"}
         host = self.caller.host
-        return sip_headers(method, "1", f"z9hG4bK{self.ident}", self.ident, host, self.transport)
+        return sip_headers(method, "1", f"z9hG4bK{ident}", ident, host, self.transport)
 
     def go(self):
         """Leave in its way, if it has one."""
@@ -147,3 +159,42 @@
         if each.way == "half-close":  # it still reads, and is told once
             until(lambda each=each: each.caller.closed, "the end of the connection")
             assert each.caller.finals(each.ident) in ([480], [500], [503])
+
+
+@pytest.mark.parametrize("front", sorted(WAYS))
+@pytest.mark.parametrize("known", [True, False], ids=["known", "not yet taken"])
+def test_set_ups_before_the_end_of_a_stream_that_lies_behind_more_than_a_look_reads(stage, front, known):
+    """Guards against an end of a stream that is seen late: more lies before it than is read at once. Each
+    caller brings set-ups of 128 KiB in all, and leaves, while the process stands still.
+    """
+    program, servers = stage(None, front)
+    ways = [way for way in ("close", "reset", "half-close") for _ in range(TIMES)]
+    if known:
+        callers = [Leaver(program, front, way) for way in ways]
+        until(lambda: all(each.caller.finals(each.ident) for each in callers), "their connections in use")
+        stop(program)
+    else:
+        stop(program)
+        callers = [Leaver(program, front, way) for way in ways]
+    many = [(each, [each.more(1200) for _ in range(80)]) for each in callers]
+    for each in callers:
+        each.go()
+    stays = Leaver(program, front)
+    time.sleep(0.3)
+    go_on(program)
+    until(lambda: stays.attempts(servers), "who stays sent on")
+    until(lambda: all(len(finals(each)) >= 80 for each, _ in many if each.way == "half-close"), "answers")
+    later = Leaver(program, front)
+    until(lambda: later.attempts(servers), "one who came after")
+    stay = {stays.ident, later.ident, *(each.ident for each in callers if known)}
+    sent_on = {m["blob"][:16] for each in servers for m in each.of("START")} - stay
+    assert not sent_on, f"{len(sent_on)} of {80 * len(many)} were sent on for nobody"
+    for each, idents in many:
+        if each.way == "half-close":  # it still reads, and each is answered once
+            assert sorted(finals(each)) == sorted([*idents, *([] if known else [each.ident])])
+
+
+def finals(leaver):
+    """Which of a caller's set-ups had a final answer that is no 200, each as often as it had one."""
+    said = [m for _, m in list(leaver.caller.got) if m.status >= 300 and m.cseq()[1] == "INVITE"]
+    return [m.get("call-id") for m in said]
