Read up to four buffers of each connection before a set-up is written, and hold the turn itself

The bound of 64 KiB on what is read before a set-up is written held for all connections together: after a standstill six callers with 30 KiB each were enough for a CANCEL to be read too late.

The bound is per connection (four buffers of 16 KiB), with 512 KiB for all. Stories for a CANCEL in pieces behind other messages, on its connection and another, and for callers who leave in the very turn in which a link comes up or a timer queues their set-ups.

--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -40,8 +40,8 @@
 SO_TIMESTAMPNS, NOTES_BYTES, STAMP = 35, 64, struct.Struct("@qq")  # Linux; elsewhere nothing is noted
 MOST_WAIT_S = 5.0  # a clock that was set makes no wait longer
 LINGER_S, LINGER_BYTES = 0.2, 256 * 1024  # what still comes is read after the last answer, so that it arrives
-HEARD_ROUNDS = 4  # before set-ups are written: a connection is taken, its bytes are read, then their end
-HEARD_BYTES = 64 * 1024  # and no further round is begun beyond so much, so that others have their turn
+HEARD_ROUNDS = 4  # before set-ups are written: a buffer a round of each connection; timers wait meanwhile
+HEARD_BYTES = 512 * 1024  # of all: no further round is begun beyond so much
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # epoll has the same; the peer closed, or reset
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,15 +5,27 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
+import socket
+import struct
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
+import uvloop
 
-from .peers import Caller, Coordinator, Program, RosterServer, instance, sip_headers, until
-from .test_endings import RESET, TIDE, leave
+from stairhatch.interface import Standing
+from stairhatch.node import message as sip
+from stairhatch.node.core import Listing
+from stairhatch.node.net import Bounds, Network
+from stairhatch.node.roster import RosterSide
+from stairhatch.node.trunk_front import TrunkFront
+
+from .peers import PATIENCE_S, Caller, Coordinator, Inside, Program, RosterServer, instance, until
+from .peers import sip_headers as headers_of
+from .test_endings import RESET, TIDE, leave, trunk_invite
 
 IDS = iter(f"{n:016x}" for n in range(0x1EA70001, 0x1EA79999))
 WAYS = {
@@ -57,7 +69,7 @@
         if self.front == "platform":
             return {"call-id": ident, "cseq": f"1 {method}"}
         host = self.caller.host
-        return sip_headers(method, "1", f"z9hG4bK{ident}", ident, host, self.transport)
+        return headers_of(method, "1", f"z9hG4bK{ident}", ident, host, self.transport)
 
     def go(self):
         """Leave in its way, if it has one."""
@@ -198,3 +210,132 @@
     """Which of a caller's set-ups had a final answer that is no 200, each as often as it had one."""
     said = [m for _, m in list(leaver.caller.got) if m.status >= 300 and m.cseq()[1] == "INVITE"]
     return [m.get("call-id") for m in said]
+
+
+@pytest.mark.parametrize("front", sorted(WAYS))
+@pytest.mark.parametrize("by", ["the same", "another"])
+def test_a_cancel_in_pieces_behind_other_messages_is_read_before_the_set_up_is_written(stage, front, by):
+    """Guards against a CANCEL that is read too late: on its connection lie 30 KiB before it, and it came in
+    pieces. Some calls wait in a pause, of others the set-up itself lies unread; all is there when the process
+    goes on.
+    """
+    program, servers = stage(RESET, front)
+    *waiting, stays = stopped_in_a_pause(program, servers, front, [*["cancel"] * TIMES, "stays"])
+    fresh = [Leaver(program, front, "cancel") for _ in range(TIMES)]  # unread until the process goes on
+    ahead = []
+    for each in (*waiting, *fresh):
+        by_whom = each if by == "the same" else Leaver(program, front)
+        ahead += [by_whom, *(by_whom.more(15_000) for _ in range(2))]
+        data = sip.request("CANCEL", "sip:5@net", list(each.headers("CANCEL").items()))
+        by_whom.caller.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for at in range(0, len(data), 40):
+            by_whom.caller.raw(data[at : at + 40])
+    time.sleep(PAUSE_S[front] + 0.3)
+    go_on(program)
+    until(lambda: len(stays.attempts(servers)) > 1, "who stays sent again")
+    cancelled = [*waiting, *fresh]
+    until(lambda: all(heard_cancel(each, front, by) for each in cancelled), "that the CANCELs were read")
+    later = Leaver(program, front)
+    until(lambda: len(later.attempts(servers)) > 1, "one who came after")
+    assert [len(each.attempts(servers)) for each in waiting] == [1] * TIMES
+    assert [len(each.attempts(servers)) for each in fresh] == [0] * TIMES
+
+
+def heard_cancel(leaver, front, by):
+    """Whether what a CANCEL leads to has come: on the appliance the final answer to the INVITE, on the
+    platform nothing but the answer to the CANCEL, which another may have got.
+    """
+    if front == "appliance":
+        return 487 in leaver.caller.finals(leaver.ident)
+    known = set(told(leaver.program, "left"))
+    return leaver.ident in known
+
+
+@pytest.mark.parametrize("when", ["the link comes up", "the pause is over"])
+def test_who_leaves_in_the_turn_in_which_its_set_up_is_written_is_not_sent_on(when):
+    """Guards against what comes between the loop's look at its sockets and the write: callers leave when the
+    link has come up, or the timer has put their set-ups into its queue, and before the queue is written.
+    """
+
+    async def story():
+        inside, links = Inside(), []
+        server = RosterServer(RosterServer.silent)
+        core = inside.core
+        core.clock = asyncio.get_running_loop().time
+        core.log = lambda *args, **fields: None
+        network, side, front = Network(core), RosterSide(core, links.append), TrunkFront(core)
+        core.list_servers([Listing("r", ("127.0.0.1", server.port), 0, Standing.READY)], True)
+        (link,) = links
+        network.listen(sock := socket.create_server(("127.0.0.1", 0)), front.connect, Bounds(100))
+        ways = [*["close"] * 3, *["reset"] * 3, *["cancel"] * 2, "another's cancel"]
+        idents = [next(IDS) for _ in (*ways, "stays")]  # as many as may be open there at a time
+        callers = [socket.create_connection(sock.getsockname()) for _ in idents]
+
+        def all_go():
+            for ident, caller, way in zip(idents, callers, ways, strict=False):
+                go_now(caller, ident, way)
+
+        async def come(condition):
+            end = core.clock() + PATIENCE_S
+            while not condition():
+                assert core.clock() < end
+                await asyncio.sleep(0.001)
+
+        def asked(which):
+            return [m["tag"] for m in server.of("START") if m["tag"] in which]
+
+        for ident, caller in zip(idents, callers, strict=True):
+            caller.sendall(trunk_invite(ident, "read-roster"))
+        await come(lambda: core.unanswered == len(idents))
+        gone, (stays,) = set(idents[:-1]), idents[-1:]
+        if when == "the link comes up":
+            connected = link.connected
+            link.connected = lambda: (connected(), all_go())
+            server.script = RosterServer.answers
+            network.dial(link)
+            before = 0
+        else:
+            network.dial(link)
+            await come(lambda: len(asked(set(idents))) == len(idents))
+            left, set_up = set(gone), side.set_up
+
+            def queued(attempt):
+                set_up(attempt)
+                if left:
+                    left.clear()
+                    all_go()
+
+            side.set_up = queued
+            server.script = RosterServer.answers
+            for ident in idents:
+                server.say("FINISH", ident, rc=41)
+            before = len(gone)
+        await come(lambda: core.stands(stays))
+        late = next(IDS)
+        callers[-1].sendall(trunk_invite(late, "read-roster"))
+        await come(lambda: late in asked({late}))
+        assert len(asked(gone)) == before, f"{len(asked(gone)) - before} of {len(gone)} were sent on"
+        for each in callers:
+            each.close()
+        server.close()
+        for task in list(network.tasks):
+            task.cancel()
+        await asyncio.sleep(0.01)
+
+    uvloop.run(story())
+
+
+def go_now(caller, ident, way):
+    """Leave without waiting for anything: the loop's own thread does it."""
+    cancel = sip.request("CANCEL", "sip:x@net", [("call-id", ident), ("cseq", "1 CANCEL")])
+    if way == "another's cancel":
+        other = socket.create_connection(caller.getpeername())
+        other.sendall(cancel)
+    elif way == "cancel":
+        caller.sendall(cancel)
+    elif way == "half-close":
+        caller.shutdown(socket.SHUT_WR)
+    else:
+        if way == "reset":
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        caller.close()
