Take set-ups back that a slow link's socket has no room for, and look again after a stop

A link handed out 64 KiB of set-ups at a time; what its socket did not take waited outside the queue and was sent once there was room, though its caller had left or its time was up. A process stopped between the look at its callers and the write sent what it had rendered.

What is pulled is sent in the same step; what the socket does not take goes back into the link's queue (Machine.unsent, Core.not_sent, counter attempts_taken_back), but for the rest of a line that was begun. Where 50 ms pass between the look and the end of the rendering, all is taken back and looked at again, three times at most. A link's mark that something is being written no longer outlives its connection.

--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -101,6 +101,12 @@
         """What is to be written now."""
         raise NotImplementedError
 
+    def unsent(self, rest: bytes) -> bytes:
+        """The peer does not take what was pulled last, from `rest` on. Returns how much of that must go yet;
+        the machine hands the others out again once there is room.
+        """
+        return rest
+
     def lost(self) -> None:
         """The connection has ended."""
         raise NotImplementedError
@@ -587,6 +593,14 @@
             )
         return max(1, int((attempt.due - now) * 1000))
 
+    def not_sent(self, attempt: Attempt) -> None:
+        """It was to be written and has been taken back, none of it sent: `may_write` is asked again."""
+        attempt.written = False
+        self.counters.add("attempts_sent", -1)
+        self.counters.add("attempts_taken_back")
+        if self.tracing:
+            self.log("taken_back", call=attempt.call.offer.ident, n=attempt.number)
+
     def _turn_holds(self, server: Server, look: Callable[[], None]) -> bool:
         """Whether this softswitch still has a turn at a cold server, where its number is one that is claimed.
 
--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -532,13 +532,14 @@
         self, sock: socket.socket, machine: Machine, wake: asyncio.Event, abort: Callable[[], None]
     ) -> None:
         """Write what the machine has, as fast as its peer takes it."""
+        machine.writing = False  # a link's last connection may have broken in the middle
         try:
             while True:
                 await wake.wait()
                 wake.clear()
                 while data := machine.pull():
                     machine.writing = True
-                    await self.loop.sock_sendall(sock, data)
+                    await self._send(sock, machine, data)
                     machine.writing = False
                 if machine.done():
                     sock.shutdown(socket.SHUT_WR)
@@ -550,6 +551,24 @@
             self._fault(error, machine)
         abort()
 
+    async def _send(self, sock: socket.socket, machine: Machine, data: bytes) -> None:
+        """Send what was pulled in the same step; of what the peer does not take only what has to follow."""
+        try:
+            size = sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            size = 0
+        if size == len(data):
+            return
+        if rest := machine.unsent(data[size:]):
+            await self.loop.sock_sendall(sock, rest)
+            return
+        room = self.loop.create_future()
+        self.loop.add_writer(sock, lambda: None if room.done() else room.set_result(None))
+        try:
+            await room
+        finally:
+            self.loop.remove_writer(sock)
+
     async def _connect(self, address: Place, within_s: float = CONNECT_S) -> socket.socket:
         sock = socket.socket(family(address[0]), socket.SOCK_STREAM)
         sock.setblocking(False)
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -36,6 +36,8 @@
 DOUBT_S, LONGEST_DOUBT_S = 1.0, 16.0  # between two looks for another way to the same server
 MOST_TIMES = 3  # a release is written so often at most, should each connection break under it
 MOST_LEFT = 3  # links passed over beside the one in use: a server tells its state on four
+STALE_S = 0.05  # a look at the callers counts no longer for what is about to be sent
+MOST_LOOKS = 3
 KEPT_S = 10.0  # releases written on a link that turns out to be dead are written again on the next
 IDENT = re.compile(r"[0-9a-fA-F]{16}\Z")
 VERBS = ("PENDING", "STARTED", "FINISH", "FINISHED", "ECHO", "ECHOED", "LOAD")
@@ -300,6 +302,8 @@
         self.queue: deque[Attempt | Release | bytes] = deque()
         self.written: deque[tuple[float, Release]] = deque(maxlen=512)  # releases, the last ones
         self.open: dict[str, Attempt] = {}  # written here, not yet answered
+        self.looked_at = math.inf  # when callers were last heard for what is pulled; none: for no set-up
+        self.pulled: list[tuple[Attempt | Release | bytes, int]] = []  # handed out last, with their lengths
         self.data = bytearray()
 
     def done(self) -> bool:
@@ -413,16 +417,47 @@
             self.side.core.connection_lost(attempt)
 
     def pull(self) -> bytes:
-        """What is to be written now. What callers have sent until now is read before the first set-up: some
-        of them may have left while this process stood still, or while the set-up waited here.
+        """What is to be written now. Where this process stood still meanwhile, it looks again who left."""
+        clock, data = self.side.core.clock, self._pull()
+        for _ in range(MOST_LOOKS):
+            if clock() - self.looked_at < STALE_S:
+                break
+            self.unsent(data)
+            data = self._pull()
+        return data
+
+    def unsent(self, rest: bytes) -> bytes:
+        """A link is slow: set-ups and releases wait here again, but for the line that was begun.
+
+        Guards against a set-up that is sent when its link has room, though its caller left, or its time was
+        up, while it lay between the queue and the socket.
         """
-        core, out, size, heard = self.side.core, [], 0, False
+        size = len(rest)
+        while self.pulled and self.pulled[-1][1] <= size:
+            item, length = self.pulled.pop()
+            size -= length
+            if isinstance(item, Attempt):
+                self.open.pop(item.call.offer.ident, None)
+                self.side.core.not_sent(item)
+            elif isinstance(item, Release):
+                item.times -= 1
+                self.written.pop()
+            self.queue.appendleft(item)
+        return rest[:size]
+
+    def _pull(self) -> bytes:
+        """What callers have sent until now is read before the first set-up: some of them may have left while
+        this process stood still, or while the set-up waited here.
+        """
+        core, out, size = self.side.core, [], 0
+        self.pulled.clear()
+        self.looked_at = math.inf
         while self.queue and size < PULLED and not self.spoilt:
             item = self.queue.popleft()
             if isinstance(item, Attempt):
-                if not heard:
+                if self.looked_at == math.inf:
                     core.hear_callers()
-                    heard = True
+                    self.looked_at = core.clock()
                 left_ms = core.may_write(item)
                 if left_ms is None:
                     continue
@@ -438,6 +473,7 @@
             else:
                 line = item
             out.append(line)
+            self.pulled.append((item, len(line)))
             size += len(line)
         return b"".join(out)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -303,10 +303,10 @@
     assert b"SIP/2.0 200" in connection.pull() and connection.done()
 
 
-def trunk_invite(ident, kind="ebb"):
+def trunk_invite(ident, kind="ebb", body=b"d"):
     """The bytes of the platform's set-up."""
     headers = {"call-id": ident, "cseq": "1 INVITE", "call-kind": kind, "answer-within": "4000"}
-    return sip.request("INVITE", "sip:7f3a9c21e0b4d655@net", list(headers.items()), b"d")
+    return sip.request("INVITE", "sip:7f3a9c21e0b4d655@net", list(headers.items()), body)
 
 
 @pytest.mark.parametrize("first", ["request", "newcomer"])
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import socket
 import struct
@@ -275,12 +276,6 @@
             for ident, caller, way in zip(idents, callers, ways, strict=False):
                 go_now(caller, ident, way)
 
-        async def come(condition):
-            end = core.clock() + PATIENCE_S
-            while not condition():
-                assert core.clock() < end
-                await asyncio.sleep(0.001)
-
         def asked(which):
             return [m["tag"] for m in server.of("START") if m["tag"] in which]
 
@@ -315,12 +310,8 @@
         callers[-1].sendall(trunk_invite(late, "read-roster"))
         await come(lambda: late in asked({late}))
         assert len(asked(gone)) == before, f"{len(asked(gone)) - before} of {len(gone)} were sent on"
-        for each in callers:
-            each.close()
         server.close()
-        for task in list(network.tasks):
-            task.cancel()
-        await asyncio.sleep(0.01)
+        await end(network, *callers)
 
     uvloop.run(story())
 
@@ -339,3 +330,112 @@
         if way == "reset":
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         caller.close()
+
+
+def test_who_leaves_while_its_set_up_lies_before_a_slow_link_is_not_sent_on():
+    """Guards against set-ups that have left the link's queue and wait for room at its socket. The server
+    reads nothing until their callers have left; what was begun by then is sent to its end and given up.
+    """
+
+    async def story():
+        inside, links = Inside(), []
+        core = inside.core
+        core.clock = asyncio.get_running_loop().time
+        network, front = Network(core), TrunkFront(core)
+        RosterSide(core, links.append)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        core.list_servers([Listing("r", listener.getsockname(), 0, Standing.READY)], True)
+        connect = network._connect
+
+        async def narrow(address, within_s):
+            sock = await connect(address, within_s)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            return sock
+
+        network._connect = narrow
+        network.listen(sock := socket.create_server(("127.0.0.1", 0)), front.connect, Bounds(100))
+        (link,) = links
+        idents = [next(IDS) for _ in range(10)]
+        ways = [*["close"] * 3, *["reset"] * 3, *["cancel"] * 3]
+        callers = [socket.create_connection(sock.getsockname()) for _ in idents]
+        for ident, caller in zip(idents, callers, strict=True):
+            caller.sendall(trunk_invite(ident, "read-roster", b"d" * 12_000))
+        await come(lambda: core.unanswered == len(idents))
+        network.dial(link)
+        await come(lambda: link.writing)
+        for _ in range(20):  # the kernel has taken what it can
+            await asyncio.sleep(0.001)
+        begun = set(link.open)
+        assert len(begun) <= 3, "the link is slow"
+        assert core.counters.counts["attempts_taken_back"] >= 5, "they had left its queue"
+        for ident, caller, way in zip(idents, callers, ways, strict=False):
+            go_now(caller, ident, way)
+        await come(lambda: core.unanswered == 1)
+        server, _ = listener.accept()
+        server.setblocking(False)
+        lines, data = [], b""
+        while sum(each["verb"] == "FINISH" for each in lines) < len(begun) or idents[-1] not in tags(lines):
+            data += await network.loop.sock_recv(server, 65536)
+            *whole, data = data.split(b"\n")
+            lines += map(json.loads, whole)
+        assert tags(lines) - {idents[-1]} == begun
+        assert {each["tag"] for each in lines if each["verb"] == "FINISH"} == begun
+        await end(network, listener, server, *callers)
+
+    uvloop.run(story())
+
+
+def tags(lines):
+    """The ids of the set-ups among lines."""
+    return {each["tag"] for each in lines if each["verb"] == "START"}
+
+
+async def come(condition):
+    """Wait for a condition in the loop."""
+    until_s = asyncio.get_running_loop().time() + PATIENCE_S
+    while not condition():
+        assert asyncio.get_running_loop().time() < until_s
+        await asyncio.sleep(0.001)
+
+
+async def end(network, *socks):
+    """Nothing is left behind."""
+    for each in socks:
+        each.close()
+    for task in list(network.tasks):
+        task.cancel()
+    await asyncio.sleep(0.01)
+
+
+def test_a_look_at_the_callers_does_not_count_after_a_standstill():
+    """Guards against a process that stands still between the look and the write: its clock has moved on."""
+    inside, links = Inside(), []
+    side, front = RosterSide(inside.core, links.append), TrunkFront(inside.core)
+    side.listed(inside.core.servers[1])
+    (link,) = links
+    link.connected()
+    callers, looks = [front.connect() for _ in range(3)], []
+
+    def look():
+        """The first caller leaves, unseen, after the first look."""
+        if looks:
+            callers[0].ended()
+        looks.append(inside.now)
+
+    inside.core.hear_callers = look
+    idents = [next(IDS) for _ in callers]
+    for ident, caller in zip(idents, callers, strict=True):
+        caller.receive(trunk_invite(ident, "read-roster"))
+    may_write, stops = inside.core.may_write, [0.3]
+
+    def slow(attempt):
+        inside.now += stops.pop() if stops else 0.0
+        return may_write(attempt)
+
+    inside.core.may_write = slow
+    started = [json.loads(line)["tag"] for line in link.pull().splitlines()]
+    assert len(looks) == 2 and started == idents[1:] and set(link.open) == set(idents[1:])
+    assert inside.core.counters.counts["attempts_sent"] == 2
