--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -65,6 +65,11 @@
         self.closing = True
         self.wake()
 
+    def half_closed(self) -> None:
+        """The peer has closed its side, or reset the connection. What it sent before may still lie unread: it
+        comes by `receive`, and then `ended`. The peer waits for no call any more.
+        """
+
     def ended(self) -> None:
         """The peer will send no more. A machine with something left to say sets `closing`: it is written."""
 
@@ -96,6 +101,12 @@
         """What is to be written now."""
         raise NotImplementedError
 
+    def unsent(self, rest: bytes) -> bytes:
+        """The peer does not take what was pulled last, from `rest` on. Returns how much of that must go yet;
+        the machine hands the others out again once there is room.
+        """
+        return rest
+
     def lost(self) -> None:
         """The connection has ended."""
         raise NotImplementedError
@@ -241,6 +252,7 @@
         self.leaving = False  # and all that was taken is answered
         self.turn_away_s = TURN_AWAY_S
         self.on_drain: Callable[[], None] = idle  # the driver ends what is idle
+        self.hear_callers: Callable[[], None] = idle  # read what they have sent until now; set by the driver
         self.before_cold: Callable[[], None] | None = None  # look whether the own number still holds
         self.orders: dict[str, Callable[..., str]] = {}  # more of the operators' orders, by their first word
         self._able = False
@@ -581,6 +593,14 @@
             )
         return max(1, int((attempt.due - now) * 1000))
 
+    def not_sent(self, attempt: Attempt) -> None:
+        """It was to be written and has been taken back, none of it sent: `may_write` is asked again."""
+        attempt.written = False
+        self.counters.add("attempts_sent", -1)
+        self.counters.add("attempts_taken_back")
+        if self.tracing:
+            self.log("taken_back", call=attempt.call.offer.ident, n=attempt.number)
+
     def _turn_holds(self, server: Server, look: Callable[[], None]) -> bool:
         """Whether this softswitch still has a turn at a cold server, where its number is one that is claimed.
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -303,10 +303,10 @@
     assert b"SIP/2.0 200" in connection.pull() and connection.done()
 
 
-def trunk_invite(ident, kind="ebb"):
+def trunk_invite(ident, kind="ebb", body=b"d"):
     """The bytes of the platform's set-up."""
     headers = {"call-id": ident, "cseq": "1 INVITE", "call-kind": kind, "answer-within": "4000"}
-    return sip.request("INVITE", "sip:7f3a9c21e0b4d655@net", list(headers.items()), b"d")
+    return sip.request("INVITE", "sip:7f3a9c21e0b4d655@net", list(headers.items()), body)
 
 
 @pytest.mark.parametrize("first", ["request", "newcomer"])
@@ -326,8 +326,8 @@
         while not listening.taken:
             await asyncio.sleep(0.001)
         one = next(iter(listening.taken))
-        while one.buffer is None or network.loop.time() <= one.last + 0.05:
-            await asyncio.sleep(0.001)  # its reader waits, and it is old enough to be put out
+        while one.over is None or network.loop.time() <= one.last + 0.05:
+            await asyncio.sleep(0.001)  # it is read, and old enough to be put out
         new = socket.socket()
         new.setblocking(False)
         ident = next(IDS)
