Keep descriptors for roster servers, coordinator and door that callers can't hold

Cause: descriptors were shared by a fixed figure of the settings alone. Where RLIMIT_NOFILE is lower than the settings' figure, or the limit is small, callers who hold on filled them while coordinator and roster servers were away; only a newcomer ever put one of them out, so that with none coming nothing was reached again (waited for 20 s, six servers, limit 64). Where the settings' figure was the lower one, 68 and 69 of 64 were held. Each newcomer beyond the limit cost a line, 20 a second. With 70 servers listed for 64 descriptors the links held all, and a newcomer got no answer within 20 s.

Change: the limit is the lower of the two figures. Each connection that is kept up, be it open or not, has its descriptor; callers have what is over, and a third at least, as the platform promises them; links beyond the rest wait. More that is dialled puts out callers who are idle, and so does EMFILE as a link or the long poll is dialled. At most eight are put out whose descriptors are not free yet. It is said once a second.

--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -8,13 +8,15 @@
 
 import asyncio
 import contextlib
+import errno
 import math
+import os
 import select
 import socket
 import struct
 import time
 from collections import OrderedDict, deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -38,6 +40,12 @@
 LOOK_S = 0.05  # how often the loop's delay is looked at
 SO_TIMESTAMPNS, NOTES_BYTES, STAMP = 35, 64, struct.Struct("@qq")  # Linux; elsewhere nothing is noted
 MOST_WAIT_S = 5.0  # a clock that was set makes no wait longer
+OUT_AT_ONCE = 8  # connections put out whose descriptors are not free yet
+SPARE = 16  # descriptors for these, and for what is opened for a moment: a configuration read anew
+UNLIMITED = 1 << 30  # descriptors, where no limit is set
+OUT_OF_THEM = (errno.EMFILE, errno.ENFILE)
+ROOM_S = 0.01  # so long after one was put out its descriptor is free
+SAY_S = 1.0  # how often it is said at most that descriptors have run out
 LINGER_S, LINGER_BYTES = 0.2, 256 * 1024  # what still comes is read after the last answer, so that it arrives
 
 
@@ -119,6 +127,46 @@
     idle_s: float = math.inf  # one on which nothing came for so long, and nothing is owed, is ended
 
 
+def descriptors_held() -> int:
+    """How many descriptors this process holds; what a process holds before its connections, where the system
+    does not tell.
+    """
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        return 24
+
+
+@dataclass(slots=True)
+class Descriptors:
+    """The descriptors that a process may hold, and who they are for.
+
+    Callers hold a third of them at most by the platform's word, and that is theirs. What is over goes first
+    to the roster servers and the coordinator, whether their connections are up or not.
+
+    Guards against descriptors filled by callers who hold on while all servers are away: none was left to dial
+    them when they were there again, and as nobody else connected, nobody was put out. And against a list that
+    is longer than the limit: its links left none to callers and to the operators' door.
+    """
+
+    most: int = UNLIMITED
+    base: int = 0  # held, or kept, for other things than callers and what is dialled
+    dialled: int = 0  # connections that are kept up, be they open or not
+
+    def least_for_callers(self) -> int:
+        return self.most // 3
+
+    def for_callers(self) -> int:
+        return max(self.least_for_callers(), self._over() - self.dialled)
+
+    def for_links(self) -> int:
+        """How many links may be open at a time."""
+        return max(self.most // 4, self._over() - self.least_for_callers() - 1)
+
+    def _over(self) -> int:
+        return self.most - self.base - min(SPARE, self.most // 8)
+
+
 class Listening:
     """A listening socket and the connections taken on it.
 
@@ -129,6 +177,7 @@
     def __init__(self, network: Network, sock: socket.socket, accept: Accept, bounds: Bounds) -> None:
         self.network, self.sock, self.accept, self.bounds = network, sock, accept, bounds
         self.taken: OrderedDict[Taken, None] = OrderedDict()  # the longest idle comes first
+        self.leaving: set[Taken] = set()  # put out, their descriptors not free yet
         self.watched = self.closed = False
 
     def open(self) -> None:
@@ -153,16 +202,20 @@
     def _ready(self) -> None:
         network = self.network
         for _ in range(64):  # then others have their turn
-            if len(self.taken) >= self.bounds.most and not self._put_out():
-                self._pause(0.02)
-                return
+            if len(self.taken) >= self.bounds.most or network.callers_fill(self):
+                if len(self.leaving) >= OUT_AT_ONCE:
+                    self._pause(ROOM_S)
+                    return
+                if not self._put_out():
+                    self._pause(0.02)
+                    return
             try:
                 sock, peer = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                network.core.log("accept", why=str(error))
-                self._put_out()  # descriptors have run out
+                network.ran_out("accept", error)
+                network.put_out_one(self)
                 self._pause(0.05)
                 return
             network.core.counters.add("connections_taken")
@@ -180,9 +233,10 @@
             await self.network._run(one.sock, one.machine, one, self.taken)
         finally:
             self.taken.pop(one, None)
+            self.leaving.discard(one)
 
-    def _put_out(self) -> bool:
-        """Make room for a newcomer: the longest idle goes that is owed no answer, silent ones first.
+    def _put_out(self, many: int = 1) -> int:
+        """Make room: the longest idle go that are owed no answer, silent ones first. Returns how many went.
 
         Guards against callers that connect and say nothing, or ask once and hold on, until no other can
         connect. What was heard keeps its connection while a silent one can go, and a message that comes in
@@ -193,17 +247,22 @@
         old = self.network.loop.time() - self.bounds.young_s
         idle_ones = [one for one in self.taken if one.last <= old and not one.machine.owes()]
         idle_ones.sort(key=lambda one: (one.begun > 0, one.machine.asked))  # stable: the first of equals
-        one = next((one for one in idle_ones if not one.unseen()), None)
-        if one is None:
-            return False
-        del self.taken[one]
-        self.network.core.counters.add("connections_evicted")
-        if word := one.machine.put_out():
-            with contextlib.suppress(OSError):
-                one.sock.send(word)
-        one.machine.closing = True
-        one.machine.abort()
-        return True
+        out = 0
+        for one in idle_ones:
+            if out == many:
+                break
+            if one.unseen():
+                continue
+            del self.taken[one]
+            self.leaving.add(one)
+            self.network.core.counters.add("connections_evicted")
+            if word := one.machine.put_out():
+                with contextlib.suppress(OSError):
+                    one.sock.send(word)
+            one.machine.closing = True
+            one.machine.abort()
+            out += 1
+        return out
 
     async def _sweep(self) -> None:
         """End the connections whose first request, or the rest of a message, has not come in time."""
@@ -250,6 +309,10 @@
         self.pool = Pool()
         self.tasks: set[asyncio.Task[None]] = set()
         self.listeners: list[Listening] = []  # of callers
+        self.descriptors = Descriptors()
+        self._ran_out: dict[str, float] = {}  # when it was last said, by where
+        self._to_shrink = False
+        self._dialled: set[RosterLink] = set()  # with a descriptor
         self.emptying: asyncio.Task[None] | None = None
         core.on_drain = self.empty
         self.looked: Callable[[float], None] | None = None  # who watches the load
@@ -308,6 +371,47 @@
             listening.open()
         return listening
 
+    def callers_fill(self, listening: Listening) -> bool:
+        """Whether callers hold all that is left to them, so that for a newcomer here another has to go."""
+        if listening not in self.listeners:
+            return False
+        return sum(len(each.taken) for each in self.listeners) >= self.descriptors.for_callers()
+
+    def put_out_one(self, first: Listening | None = None) -> bool:
+        """Free a descriptor: a caller that is idle goes, at a listener or at any."""
+        every = [*([first] if first is not None else []), *self.listeners]
+        return any(each._put_out() for each in every)
+
+    def ran_out(self, where: str, error: OSError) -> None:
+        """A socket could not be had: said once a second, since what wants one comes again and again."""
+        now = self.loop.time()
+        if now - self._ran_out.get(where, -math.inf) < SAY_S:
+            return
+        self._ran_out[where] = now
+        callers = sum(len(each.taken) for each in self.listeners)
+        most, kept = self.descriptors.most, self.descriptors.dialled
+        self.core.log(where, why=str(error), callers=callers, dialled=kept, limit=most)
+
+    @contextlib.contextmanager
+    def _kept(self) -> Iterator[None]:
+        """While a connection is kept up its descriptor is not left to callers."""
+        self.descriptors.dialled += 1
+        if not self._to_shrink:  # once for all that are dialled in one turn
+            self._to_shrink = True
+            self.loop.call_soon(self._shrink)
+        try:
+            yield
+        finally:
+            self.descriptors.dialled -= 1
+
+    def _shrink(self) -> None:
+        """More is dialled than before: callers who hold what is wanted for it go, the longest idle first."""
+        self._to_shrink = False
+        for each in self.listeners:
+            over = sum(len(other.taken) for other in self.listeners) - self.descriptors.for_callers()
+            if over > 0:
+                each._put_out(over)
+
     def unseen(self) -> bool:
         """Whether a caller has connected, or has sent something, that nobody has looked at yet."""
         return any(each.unseen() for each in self.listeners)
@@ -423,8 +527,23 @@
             self.core.log("fault", why=f"{type(error).__name__}: {error}", machine=type(machine).__name__)
         abort()
 
+    async def _socket(self, address: Place) -> socket.socket:
+        """A socket to dial with. Where descriptors have run out, a caller who holds on to more than the
+        callers' third goes for it.
+        """
+        try:
+            return socket.socket(family(address[0]), socket.SOCK_STREAM)
+        except OSError as error:
+            if error.errno not in OUT_OF_THEM:
+                raise
+            callers = sum(len(each.taken) for each in self.listeners)
+            if callers <= self.descriptors.least_for_callers() or not self.put_out_one():
+                raise
+        await asyncio.sleep(ROOM_S)
+        return socket.socket(family(address[0]), socket.SOCK_STREAM)
+
     async def _connect(self, address: Place, within_s: float = CONNECT_S) -> socket.socket:
-        sock = socket.socket(family(address[0]), socket.SOCK_STREAM)
+        sock = await self._socket(address)
         sock.setblocking(False)
         try:
             await asyncio.wait_for(self.loop.sock_connect(sock, address), within_s)
@@ -520,6 +639,11 @@
         self.spawn(self._keep(link))
 
     async def _keep(self, link: RosterLink) -> None:
+        with self._kept():
+            await self._keep_up(link)
+        link.side.drop(link)
+
+    async def _keep_up(self, link: RosterLink) -> None:
         backoff = FIRST_BACKOFF_S
         while not link.done():
             if link.retired and not link.urgent:
@@ -527,9 +651,15 @@
             wanted = asyncio.Event()
             link.wake = wanted.set
             try:
+                if len(self._dialled) >= self.descriptors.for_links():
+                    raise OSError(errno.EMFILE, "no descriptor is left to a link")
+                self._dialled.add(link)
                 within_s = self.core.settings.connect_timeout_s
                 sock = await self._connect(link.server.listing.address, within_s)
             except (OSError, TimeoutError) as error:
+                self._dialled.discard(link)
+                if isinstance(error, OSError) and error.errno in OUT_OF_THEM:
+                    self.ran_out("descriptors", error)
                 link.failed(refused=isinstance(error, ConnectionRefusedError))
                 if link.retired:
                     break
@@ -541,16 +671,22 @@
                 continue
             up_at = self.loop.time()
             link.connected()
-            await self._run(sock, link)
+            try:
+                await self._run(sock, link)
+            finally:
+                self._dialled.discard(link)
             if self.loop.time() - up_at > LONGEST_BACKOFF_S:
                 backoff = FIRST_BACKOFF_S
             elif not link.retired:  # it broke as soon as it had come up
                 await asyncio.sleep(backoff)
                 backoff = min(LONGEST_BACKOFF_S, 2 * backoff)
-        link.side.drop(link)
 
     async def follow(self, directory: Directory) -> None:
         """Keep the long poll going, wherever the coordinator is by now."""
+        with self._kept():
+            await self._follow(directory)
+
+    async def _follow(self, directory: Directory) -> None:
         backoff = FIRST_BACKOFF_S
         hurry = asyncio.Event()
         directory.hurry = hurry.set
--- a/stairhatch/service.py
+++ b/stairhatch/service.py
@@ -10,6 +10,7 @@
 import math
 import os
 import random
+import resource
 import secrets
 import signal
 import socket
@@ -23,7 +24,7 @@
 from stairhatch.node.console import PROMPT, Console, Door
 from stairhatch.node.core import Core, Counters
 from stairhatch.node.directory import Directory, DirectoryError, apply_events, read_events
-from stairhatch.node.net import Bounds, Listening, Network
+from stairhatch.node.net import UNLIMITED, Bounds, Descriptors, Listening, Network, descriptors_held
 from stairhatch.node.roster import RosterSide
 from stairhatch.node.syslog import Log
 from stairhatch.node.trunk_front import TrunkFront
@@ -91,6 +92,15 @@
     return max(16, most if config.inherited is None else most // 2 - OPERATORS.most)
 
 
+def most_descriptors(config: Config) -> int:
+    """How many descriptors this process may hold: the lower of what the platform tells and what the system
+    sets (RLIMIT_NOFILE, the soft limit, which is not raised).
+    """
+    real = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    most = UNLIMITED if real == resource.RLIM_INFINITY else real
+    return min(most, config.sockets) if config.listen is not None else most
+
+
 def inherit(descriptor: int) -> socket.socket:
     """The listening socket that the platform owns: it is never bound, shut down or unlinked here."""
     try:
@@ -142,6 +152,10 @@
         except OSError as error:
             raise ConfigError(f"can't listen: {error.strerror}") from None
         network.listeners = self.callers
+        kept = descriptors_held() + (OPERATORS.most if config.console is not None else 0)
+        network.descriptors = Descriptors(most_descriptors(config), kept)
+        if config.listen is not None and network.descriptors.most < config.sockets:
+            self.log("descriptors", told=config.sockets, limit=network.descriptors.most)
         core.listening = config.inherited is None
         return ",".join(listening)
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -43,6 +43,10 @@
     "safety": {"answer_slack_s": 0.02, "drain_grace_s": 1.0},
 }
 
+LIMITED = (  # lowers its own limit of descriptors, then becomes the program
+    "import os, resource, sys; most = int(sys.argv[1]); "
+    "resource.setrlimit(resource.RLIMIT_NOFILE, (most, most)); os.execv(sys.argv[2], sys.argv[2:])"
+)
 NUMBERED = ("read-roster", (("7", "save-roster", 0),))
 
 
@@ -303,6 +307,8 @@
 class Program:
     """The real program, started as the deploy file does."""
 
+    descriptors = 0  # the limit that the process is started under (RLIMIT_NOFILE); 0: this one's
+
     def __init__(self, folder: Path, *arguments: str, keeps: tuple[int, ...] = (), **environ: str) -> None:
         self.path = folder  # of the configuration, once there is one
         self.log = folder / f"log-{time.monotonic_ns()}.txt"
@@ -314,8 +320,9 @@
     ) -> None:
         """Start the process, with its lines to a file or a pipe."""
         env = {**os.environ, "STAIRHATCH_TRACE": "1", "TMPDIR": str(folder), **environ}
+        limited = [sys.executable, "-c", LIMITED, str(self.descriptors)] if self.descriptors else []
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "stairhatch", *arguments],
+            [*limited, sys.executable, "-m", "stairhatch", *arguments],
             cwd=ROOT, env=env, stdin=subprocess.PIPE, stdout=output, stderr=output,
             pass_fds=keeps,
         )  # fmt: skip
--- /dev/null
+++ b/tests/test_pressed.py
@@ -0,0 +1,196 @@
+"""Stories of a softswitch that is pressed from outside: descriptors that callers fill while all else is
+away, starts before servers that never answer, floods, and answers that can't be read. Each is forced by real
+sockets and counted, and waits on what the program says or does.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import threading
+import time
+from collections import Counter
+
+import pytest
+
+from stairhatch.node import message as sip
+from stairhatch.node.net import Descriptors
+
+from .peers import Coordinator, Program, RosterServer, instance, until
+
+IDS = iter(f"{n:016x}" for n in range(0xF1E0001, 0xF1E9999))
+PING = sip.request("OPTIONS", "sip:ping@net", [("call-id", "p"), ("cseq", "1 OPTIONS")], b"")
+
+
+class Discovery(Coordinator):
+    """A coordinator that can go, and come again at its address."""
+
+    def __init__(self, *lines):
+        self.links = []
+        super().__init__(*lines)
+
+    def _serve(self, link):
+        self.links.append(link)
+        super()._serve(link)
+
+    def _accept(self):
+        try:
+            super()._accept()
+        except OSError:
+            return  # it has gone
+
+    def go(self):
+        """Its process dies."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for link in self.links:
+            link.shutdown(socket.SHUT_RDWR)
+
+    def come(self):
+        """It is there again, with what it knew."""
+        self.listener = socket.create_server(("127.0.0.1", self.port))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+
+class Crowd:
+    """Callers who hold connections and want nothing: silent, within a message, or after one test. Who is put
+    out comes again at once, or never; those who stay then have asked once.
+    """
+
+    WAYS = (b"", PING[:30], PING)
+
+    def __init__(self, address, size, again):
+        self.address, self.again, self.came, self.over = address, again, 0, False
+        self.ways = self.WAYS if again else (PING,)
+        self.threads = [threading.Thread(target=self._hold, args=(n,), daemon=True) for n in range(size)]
+        for each in self.threads:
+            each.start()
+
+    def _hold(self, number):
+        while not self.over:
+            try:
+                with socket.create_connection(self.address, 20) as sock:
+                    self.came += 1
+                    sock.sendall(self.ways[number % len(self.ways)])
+                    sock.settimeout(0.2)
+                    while not self.over:
+                        try:
+                            if not sock.recv(4096):
+                                break
+                        except TimeoutError:
+                            continue
+            except OSError:
+                time.sleep(0.01)
+            if not self.again:
+                return
+
+    def go(self):
+        self.over = True
+        for each in self.threads:
+            each.join()
+
+
+def counters(program):
+    """What the program has counted so far."""
+    before = len(program.lines("counters"))
+    program.process.send_signal(signal.SIGUSR1)
+    until(lambda: len(program.lines("counters")) > before, "the counters")
+    told = program.lines("counters")[-1]
+    return Counter({name: int(value) for name, value in told.items() if value.isdigit()})
+
+
+def held(program):
+    """How many descriptors the process holds."""
+    return len(os.listdir(f"/proc/{program.process.pid}/fd"))
+
+
+@pytest.fixture
+def started():
+    """Programs that are ended with the test."""
+    programs = []
+    yield programs
+    for each in programs:
+        each.kill()
+
+
+@pytest.mark.parametrize("again", [True, False], ids=["who come again", "who stay"])
+@pytest.mark.parametrize(("told", "real"), [(64, 64), (1024, 64), (64, 1024)])
+def test_callers_that_hold_on_do_not_keep_what_is_away_from_coming_back(
+    tmp_path, started, told, real, again
+):
+    """Guards against descriptors filled by idle callers while the coordinator and all roster servers are
+    away: none was left to dial them when they were there again. The limit is what the settings tell, what
+    the system sets, or both.
+    """
+
+    class Limited(Program):
+        descriptors = real
+
+    servers = [RosterServer() for _ in range(6)]
+    coordinator = Discovery(*(instance(f"s-{n}", each.port, n % 2) for n, each in enumerate(servers)))
+    program = Limited.on_platform(tmp_path, coordinator, sockets=told).serves()
+    started.append(program)
+    for each in (coordinator.go, *(each.close for each in servers)):
+        each()
+    until(lambda: len(program.lines("link_lost")) == 6, "that all are away")
+    before = counters(program)
+    crowd = Crowd(program.address, 2 * min(told, real), again)
+    until(lambda: crowd.came >= (4 if again else 2) * min(told, real), "descriptors filled over")
+    missed = ("roster_connections_failed", "directory_unreached")
+    until(lambda: all((counters(program) - before)[name] >= 12 for name in missed), "that all are missed")
+    assert counters(program)["connections_evicted"] > 0, "callers who hold on were in excess"
+    asked = len(coordinator.asked)
+    coordinator.come()
+    back = [RosterServer(port=each.port) for each in servers]
+    until(lambda: len(program.lines("reached")) >= 12, "the roster servers, reached again")
+    until(lambda: len(coordinator.asked) > asked, "the coordinator, asked again")
+    coordinator.tell(instance("s-0", back[0].port, 0, "terminating"))
+    until(lambda: program.lines("listed")[-1]["state"] == "draining", "its news")
+    assert program.order("check").startswith("ok")
+    ident, newcomer = next(IDS), program.caller()
+    newcomer.invite(ident, within=9000)
+    newcomer.expect(ident, 200)
+    assert held(program) <= min(told, real)
+    crowd.go()
+    lines = Counter(line.split(".")[0] for line in program.text().splitlines() if " accept " in line)
+    assert max(lines.values(), default=0) <= 2, "one line a second says that descriptors have run out"
+
+
+def test_a_list_longer_than_the_limit_leaves_the_door_and_callers_theirs(tmp_path, started):
+    """Guards against links that take every descriptor, so that neither the door nor callers have one: so many
+    roster servers are listed, and all are there.
+    """
+
+    class Limited(Program):
+        descriptors = 64
+
+    servers = [RosterServer() for _ in range(70)]
+    coordinator = Coordinator(*(instance(f"s-{n}", each.port, n % 2) for n, each in enumerate(servers)))
+    program = Limited.on_platform(tmp_path, coordinator, sockets=1024).serves()
+    started.append(program)
+    until(lambda: len(program.lines("unreached")) >= 20, "servers that there is no descriptor for")
+    assert program.lines("reached"), "others are reached"
+    crowd = Crowd(program.address, 64, False)
+    until(lambda: crowd.came == 64 and counters(program)["connections_evicted"] > 0, "that some are put out")
+    assert program.order("check").startswith("ok")
+    ident, newcomer = next(IDS), program.caller()
+    newcomer.invite(ident, within=9000)
+    until(lambda: newcomer.finals(ident), "an answer")
+    assert held(program) <= 64
+    crowd.go()
+    said = Counter(line["at"].split(".")[0] for line in program.lines("descriptors")[1:])
+    assert 0 < max(said.values()) <= 2, "said, and not in a spin"
+
+
+def test_callers_keep_their_third_where_the_list_is_longer_than_the_limit():
+    """Guards against 1,900 roster servers, listed under a limit of 1,024, that leave callers no descriptor; a
+    list that fits leaves them what is over.
+    """
+    for most in (32, 64, 1024):
+        short = Descriptors(most, 26, 1901)
+        assert short.for_callers() == most // 3 and most // 4 <= short.for_links() < most - most // 3
+    long = Descriptors(4096, 26, 1901)
+    assert long.for_callers() > 4096 / 2 and long.for_links() > 1900
+    assert Descriptors(1024, 26, 25).for_callers() > 768, "three quarters, which the settings allow"
+    assert min(Descriptors().for_callers(), Descriptors().for_links()) > 10**6, "where no limit is set"
