Hold no start up for a server that never answers its dial

Cause: a start waited until a connection to each listed server had come up or failed. One that never answers fails only after the settings' connect_timeout_s: with 600 s of it a softswitch said 'not tried yet' for that long.

Measured: the tests' listener with a full queue never answers; a softswitch serves beside it, with the coordinator up and silent.

--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -27,6 +27,7 @@
 PAUSE_MARGIN_S = 0.02  # added to the pause after an unclear end: the two roads differ in length
 OLD_CLASS_S = 2.0  # callers name a class that is no more for 1.2 s
 GRID_HZ = 256  # of the timers
+TRY_S = 1.5  # so long a start waits for links once the list is known; some come up a second late
 TURN_AWAY_S = 0.7  # so long into a drain new set-ups are refused, so that each connection empties
 HOLD_S = 3.6  # so long a drain keeps a connection for the releases of calls that stand, and no longer
 AWAY_S = 0.1  # what they are told to stay away for: another softswitch takes them
@@ -244,6 +245,7 @@
         self.before_cold: Callable[[], None] | None = None  # look whether the own number still holds
         self.orders: dict[str, Callable[..., str]] = {}  # more of the operators' orders, by their first word
         self._able = False
+        self._trying_since = math.inf  # when links were first awaited, the list being known
         self._over: OrderedDict[str, float] = OrderedDict()  # id -> when it ended, the longest ago first
         self._timers: dict[float, list[Callable[[], None]]] = {}  # by their time, on a grid
         self._due: list[float] = []  # a heap of these times
@@ -334,7 +336,11 @@
         return self.awaits() or ("" if self.listening else "not listening")
 
     def awaits(self) -> str:
-        """What has to come before calls can be set up; "" once they can."""
+        """What has to come before calls can be set up; "" once they can.
+
+        Guards also against a start that is held up by links: by one server that is listed and never answers
+        its dial, for as long as the settings allow a connection, or by each that is listed meanwhile.
+        """
         if self._able:
             return ""
         ready = [s for s in self.servers.values() if s.listing.standing is Standing.READY]
@@ -343,7 +349,9 @@
             return "the list of roster servers is not known yet"
         if not ready:
             return "no roster server is listed as ready"
-        if untried:
+        now = self.clock()
+        self._trying_since = min(self._trying_since, now)
+        if untried and now - self._trying_since < TRY_S:
             return f"not tried yet: {' '.join(untried)[:80]}"
         self._able = True
         return ""
--- a/tests/test_pressed.py
+++ b/tests/test_pressed.py
@@ -14,10 +14,13 @@
 
 import pytest
 
+from stairhatch.interface import Standing
 from stairhatch.node import message as sip
+from stairhatch.node.core import TRY_S, Listing
 from stairhatch.node.net import Descriptors
+from stairhatch.node.roster import RosterSide
 
-from .peers import Coordinator, Program, RosterServer, instance, until
+from .peers import SETTINGS, Coordinator, Inside, Program, RosterServer, instance, until
 
 IDS = iter(f"{n:016x}" for n in range(0xF1E0001, 0xF1E9999))
 PING = sip.request("OPTIONS", "sip:ping@net", [("call-id", "p"), ("cseq", "1 OPTIONS")], b"")
@@ -194,3 +197,64 @@
     assert long.for_callers() > 4096 / 2 and long.for_links() > 1900
     assert Descriptors(1024, 26, 25).for_callers() > 768, "three quarters, which the settings allow"
     assert min(Descriptors().for_callers(), Descriptors().for_links()) > 10**6, "where no limit is set"
+
+
+class Unanswered:
+    """A roster server whose machine answers no dial: the queue of its listener is full, so that what comes
+    waits in the sender's kernel.
+    """
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.fill = []
+        while True:
+            sock = socket.socket()
+            sock.settimeout(0.3)
+            self.fill.append(sock)
+            try:
+                sock.connect(("127.0.0.1", self.port))
+            except TimeoutError:
+                return
+
+    def close(self):
+        for each in (*self.fill, self.listener):
+            each.close()
+
+
+@pytest.mark.parametrize("silent", [False, True], ids=["coordinator up", "coordinator silent"])
+def test_a_start_waits_for_no_server_that_never_answers_its_dial(tmp_path, started, silent):
+    """Guards against softswitches that are not ready for as long as the settings allow a connection to take:
+    one listed server that never answers held up the start of all. Here that is longer than the story waits.
+    """
+    stuck, server = Unanswered(), RosterServer()
+    assert len(stuck.fill) >= 2, "its queue was filled until a dial got no answer"
+    coordinator = Coordinator(instance("s-0", server.port, 0), instance("s-1", stuck.port, 1))
+    coordinator.held = silent
+    permissions = {**SETTINGS["permissions"], "connect_timeout_s": 600.0}
+    program = Program.on_platform(tmp_path, coordinator, {**SETTINGS, "permissions": permissions})
+    started.append(program)
+    until(lambda: program.lines("serving"), "that it serves")
+    assert not program.lines("unreached"), "it was still being dialled"
+    assert program.tested() == 200 and program.order("check").startswith("ok")
+    ident, caller = next(IDS), program.caller()
+    caller.invite(ident)
+    caller.expect(ident, 200)
+    stuck.close()
+
+
+def test_a_start_waits_for_links_and_not_for_good():
+    """Guards against a start that waits for no link, or for each server that is listed while it waits."""
+    inside = Inside()
+    inside.core._able = False
+    RosterSide(inside.core, lambda link: None)
+    for number in range(20):
+        name = f"s-{number}"
+        line = Listing(name, ("127.0.0.1", 9), number % 2, Standing.READY)
+        inside.core.list_servers([line], False)
+        waits = inside.core.awaits()
+        assert (name in waits) is (number * 0.1 < TRY_S), "the newest has not been tried"
+        inside.run(0.1)
+    assert not inside.core.awaits()
