Link, test and tell only the servers that callers ask for, where [scope] stands in the file

Each listed server has a link, 1,900 of them with 1,024 descriptors, and its part in the decisions, though callers use some ten.

Change. [scope] of the appliance's file puts the scoped decisions in the Controller's place (a parameter of Core). What is out of scope is not dialled, awaited or counted by check; when a set comes its servers are listed to the roster side, when it leaves a link ends once no call is out or stands there. `softswitches` and `me` of a service divide its windows; they are never guessed, and a file in which classes that share servers differ is refused. idle_s and services are taken by a reload. The console's servers and classes show what is in; scopes_in, scopes_out, a log line for each. A server that goes without ever having been linked is forgotten.

On sockets, with stand-ins: of 12 servers in four services only those of the one asked for are dialled; a call that stands when its set leaves keeps its link, the BYE's release comes there.

--- a/stairhatch/config/__init__.py
+++ b/stairhatch/config/__init__.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from stairhatch.fleet.config import FleetConfig
+    from stairhatch.scope.sets import ScopeConfig
     from stairhatch.sip.front import SipConfig
 
 
@@ -40,6 +41,7 @@
     syslog: tuple[str, int] | str | None = None
     tracing: bool = False
     fleet: FleetConfig | None = None  # the appliance's part in shared work
+    scope: ScopeConfig | None = None  # which servers are kept to, where that is not all of the list
     raw: Any = None  # as it was read, of what must not lose a key
 
 
--- a/stairhatch/config/appliance.py
+++ b/stairhatch/config/appliance.py
@@ -25,6 +25,7 @@
 from stairhatch.fleet.config import MOST_VOTERS, FleetConfig
 from stairhatch.interface import Settings
 from stairhatch.node.directory import DirectoryError, parse_address
+from stairhatch.scope.sets import ScopeConfig, Service, disagreement
 from stairhatch.settings import SettingsError
 from stairhatch.sip import auth
 from stairhatch.sip.flows import Networks, Place, is_address
@@ -200,6 +201,22 @@
     restarts: Annotated[int, Meta(ge=0, le=64)] = 0
 
 
+class ServiceTable(_Table, frozen=True):
+    """What is told of some classes: how many softswitches ever have calls of them."""
+
+    classes: Annotated[list[Text], Meta(min_length=1)]
+    softswitches: Count | None = None
+    me: Annotated[int, Meta(ge=0, le=10**7)] | None = None
+    keep: bool = False
+
+
+class ScopeTable(_Table, frozen=True):
+    """Only servers of classes that callers ask for are linked. Off without this table: docs/scope.md."""
+
+    idle_s: Annotated[float, Meta(ge=1, le=1e6)] = 600.0
+    services: list[ServiceTable] = []
+
+
 class ApplianceTable(_Table, frozen=True):
     """The whole file."""
 
@@ -212,6 +229,7 @@
     coordinator: str | None = None
     servers: list[ServerTable] = []
     fleet: FleetTable | None = None
+    scope: ScopeTable | None = None
 
 
 # ---- complaints ----
@@ -411,6 +429,31 @@
     )
 
 
+def _scope(table: ScopeTable | None, settings: Settings) -> ScopeConfig | None:
+    if table is None:
+        return None
+    classes, seen, services = {kind.name for kind in settings.classes}, set[str](), []
+    for index, each in enumerate(table.services):
+        here = f"scope.services[{index}]"
+        for order, name in enumerate(each.classes):
+            if name not in classes:
+                near = difflib.get_close_matches(name, classes, 1, 0.5)
+                hint = f"; did you mean {near[0]}?" if near else ""
+                raise ConfigError(f"{here}.classes[{order}]: the settings have no class {name!r}{hint}")
+            if name in seen:
+                raise ConfigError(f"{here}.classes[{order}]: {name!r} stands twice")
+            seen.add(name)
+        if each.softswitches is not None and each.softswitches > settings.balancers:
+            raise ConfigError(f"{here}.softswitches: above settings.balancers, which is {settings.balancers}")
+        if each.me is not None and each.me >= (each.softswitches or 0):
+            raise ConfigError(f"{here}.me: must be below softswitches")
+        me = each.me if each.me is not None else -1
+        services.append(Service(tuple(each.classes), each.softswitches, me, each.keep))
+    if why := disagreement(settings, services):
+        raise ConfigError(f"scope.services: {why}")
+    return ScopeConfig(table.idle_s, tuple(services))
+
+
 def _servers(table: ApplianceTable) -> list[dict[str, Any]]:
     """The lines of `[[servers]]` as the directory has them."""
     listed: list[dict[str, Any]] = []
@@ -456,6 +499,7 @@
             syslog=syslog,
             tracing=environ.get("STAIRHATCH_TRACE") == "1" or table.trace,
             fleet=_fleet(table, Path(path).resolve().parent),
+            scope=_scope(table.scope, settings),
         )
     except SettingsError as error:
         raise ConfigError(f"{path}: settings: {str(error).removeprefix('boot_info: ')}") from None
--- a/stairhatch/node/console.py
+++ b/stairhatch/node/console.py
@@ -19,7 +19,8 @@
 help      this list
 status    how long it has run, calls and servers in figures
 servers   the roster servers of the directory: set-ups out, those that the decisions hold for unanswered,
-          calls that stand, the wait last reported and how long ago, and whether it is held for pressed
+          calls that stand, the wait last reported and how long ago, and whether it is held for pressed;
+          link "-": out of scope, nothing is kept open there
 calls     calls that are being set up or stand (the first 50)
 classes   the classes of calls as the settings have them now, and the calls open in each
 counters  what was taken in, sent and answered, by kind
@@ -56,7 +57,7 @@
     why = core.why_not()
     if why:
         return f"fail {why}"
-    ready = [s for s in core.servers.values() if s.listing.standing is Standing.READY]
+    ready = [s for s in core.servers.values() if s.listing.standing is Standing.READY and core.links_to(s)]
     return f"ok serving, {sum(s.connected for s in ready)} of {len(ready)} roster servers connected"
 
 
@@ -206,6 +207,7 @@
                 if call.attempt is not None and call.attempt.server is server
             ]
             address = f"{line.address[0]}:{line.address[1]}"
+            link = "up" if server.connected else "down" if core.links_to(server) else "-"
             seen = core.controller.servers.get(server.id)  # what the decisions go by
             held, wait, age, marks = 0, "-", "-", []
             if seen is not None:
@@ -216,22 +218,28 @@
                 marks += ["cold"] if core.controller.is_cold(now, seen) else []
             text += (
                 f"{line.instance:20} {address:22} {line.number:6} {line.standing.value:9} "
-                f"{'up' if server.connected else 'down':4} {here.count(Stage.OFFERED):4} "
+                f"{link:4} {here.count(Stage.OFFERED):4} "
                 f"{held:4} {here.count(Stage.STANDING):8} {wait:>6} {age:>5} {' '.join(marks) or '-'}\n"
             )
         return text
 
     def _classes(self) -> str:
         core = self.core
-        text = f"{'class':16} {'worth':>6} {'aim':>7} {'limit':>7} {'again':5} {'attempts':>8} {'open':>5}\n"
+        text = f"{'class':16} {'worth':>6} {'aim':>7} {'limit':>7} {'again':5} {'attempts':>8} {'open':>5}"
+        text += "\n" if core.in_scope is None else "  scope\n"
+        near = {s.listing.number for s in core.servers.values() if core.links_to(s)}
         open_ones = [call.offer.kind for call in core.calls.values()]
         going = [kind for kind in dict.fromkeys(open_ones) if kind not in core.settings.classes]
         for kind in [*core.settings.classes, *going]:
             text += (
                 f"{kind.name:16} {kind.importance:6g} {kind.aim_s:6g}s {kind.deadline_s:6g}s "
                 f"{'yes' if kind.repeatable else 'no':5} {core.settings.attempts:8} {open_ones.count(kind):5}"
-                f"{' as it was before a reload' if kind in going else ''}\n"
+                f"{' as it was before a reload' if kind in going else ''}"
             )
+            if core.in_scope is not None:
+                known = near if kind.pools is None else near.intersection(kind.pools)
+                text += "  in" if known else "  out"
+            text += "\n"
         return text
 
     def _calls(self) -> str:
--- a/stairhatch/node/core.py
+++ b/stairhatch/node/core.py
@@ -11,15 +11,15 @@
 import math
 import random
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
 from itertools import count
 from typing import Protocol
 
+from stairhatch import choice
 from stairhatch import interface as say
-from stairhatch.choice import Controller
 from stairhatch.interface import Ending, Report, Standing
 
 ANSWER_EARLY_S = 0.03  # attempts and calls end this long before the caller stops waiting
@@ -123,6 +123,17 @@
     def flushed(self) -> bool: ...
 
 
+class Decisions(Protocol):
+    """What decides: a Controller, or what stands in its place."""
+
+    @property
+    def servers(self) -> Mapping[int, choice.Server]: ...
+    def handle(self, now: float, event: say.Event) -> Iterator[say.Action]: ...
+    def retune(self, settings: say.Settings) -> None: ...
+    def is_cold(self, now: float, server: choice.Server) -> bool: ...
+    def turns_in_span(self, now: float, server: choice.Server) -> float: ...
+
+
 class Stage(Enum):
     """Where a call is in its life."""
 
@@ -219,12 +230,14 @@
         log: Logger,
         counters: Counters,
         tracing: bool = False,
+        decisions: Decisions | None = None,
     ) -> None:
         self.tracing = tracing  # whether each call leaves lines in the log
         self.settings, self.clock, self.log, self.counters = settings, clock, log, counters
         self.classes = {kind.name: kind for kind in settings.classes}
         self.before: dict[str, tuple[say.CallClass, float]] = {}  # classes as they were, and until when
-        self.controller = Controller(settings, rng)
+        self.controller: Decisions = decisions or choice.Controller(settings, rng)
+        self.in_scope: Callable[[int], bool] | None = None  # whether a number is linked to; None: all are
         self.servers: dict[int, Server] = {}
         self.by_instance: dict[str, Server] = {}
         self.calls: dict[int, Call] = {}
@@ -338,7 +351,7 @@
         if self._able:
             return ""
         ready = [s for s in self.servers.values() if s.listing.standing is Standing.READY]
-        untried = [server.listing.instance for server in ready if not server.tried]
+        untried = [server.listing.instance for server in ready if not server.tried and self.links_to(server)]
         if not self.list_known:
             return "the list of roster servers is not known yet"
         if not ready:
@@ -348,6 +361,10 @@
         self._able = True
         return ""
 
+    def links_to(self, server: Server) -> bool:
+        """Whether a link to a server is wanted: it is in scope."""
+        return self.in_scope is None or self.in_scope(server.listing.number)
+
     def drain(self, on: bool) -> None:
         """Begin to send callers away, or take them again. What was taken is served either way."""
         if on is (self.drain_since is not None):
--- a/stairhatch/node/roster.py
+++ b/stairhatch/node/roster.py
@@ -79,6 +79,7 @@
         self.spares: dict[int, RosterLink] = {}  # dialled because that one keeps silent
         self.over = False  # another process goes on
         self.left: list[RosterLink] = []  # passed over for a spare; what is open there may still be answered
+        self.leaving: set[int] = set()  # servers out of scope whose links are looked at until they may end
         core.side = self
         core.at(core.clock() + LOOK_S, self._look)
 
@@ -88,9 +89,14 @@
         if server.listing.standing is Standing.GONE:
             for each in self.all_to(server):
                 each.retire()
+            if link is None:  # it never was in scope; not now, since the list is being gone through
+                self.core.at(self.core.clock(), partial(self.core.forget_server, server))
             return
         if self.over:
             return
+        if not self.core.links_to(server):
+            self._let_go(server)
+            return
         if link is None:
             link = self.links[server.id] = RosterLink(self, server)
             self.dial(link)
@@ -100,6 +106,26 @@
                 each.abort()  # the process that it was opened to is no more
         link.wake()
 
+    def _let_go(self, server: Server) -> None:
+        """A server is out of scope: its links end once no call is being set up there or stands there.
+
+        Guards against calls whose end comes on a link that went with its scope, and releases that were to go.
+        """
+        if server.id in self.leaving or not self.all_to(server):
+            return
+        attempts = (call.attempt for call in self.core.calls.values())
+        if any(attempt is not None and attempt.server is server for attempt in attempts):
+            self.leaving.add(server.id)
+            self.core.at(self.core.clock() + LOOK_AT_LEFT_S, partial(self._look_at_leaving, server))
+            return
+        for each in self.all_to(server):
+            each.retire()
+
+    def _look_at_leaving(self, server: Server) -> None:
+        self.leaving.discard(server.id)
+        if server.listing.standing is not Standing.GONE:
+            self.listed(server)
+
     def set_up(self, attempt: Attempt) -> None:
         """Queue a set-up; it is rendered when it can be written."""
         link = self.links.get(attempt.server.id)
--- a/stairhatch/service.py
+++ b/stairhatch/service.py
@@ -32,6 +32,8 @@
 if TYPE_CHECKING:
     from stairhatch.fleet.config import FleetConfig
     from stairhatch.fleet.service import Fleet
+    from stairhatch.scope.decisions import ScopedController
+    from stairhatch.scope.sets import Numbers, ScopeConfig
     from stairhatch.sip.front import SipConfig, SipFront
 
 STAY_S = 1.0  # after SIGTERM: connections come for 0.4 s, requests on them for 0.2 s more
@@ -111,9 +113,14 @@
         self.log = Log("stairhatch", socket.gethostname(), self.clock, config.syslog)
         self.counters = Counters()
         rng = random.Random(config.seed or None)
-        self.core = Core(config.settings, rng, self.clock, self.log, self.counters, config.tracing)
+        self.scoped = self._scoped(config.scope, rng) if config.scope is not None else None
+        self.core = Core(
+            config.settings, rng, self.clock, self.log, self.counters, config.tracing, self.scoped
+        )  # fmt: skip
         self.network = Network(self.core)
         RosterSide(self.core, self.network.dial)
+        if self.scoped is not None:
+            self.core.in_scope, self.scoped.changed = self.scoped.in_scope, self._scope_changed
         self.trunk: TrunkFront | None = None
         self.front: SipFront | None = None
         self.directory: Directory | None = None
@@ -123,6 +130,19 @@
         self.reloaded = "never"
         self.say: Callable[[str], None] = lambda text: None  # to the terminal, where there is one
 
+    def _scoped(self, config: ScopeConfig, rng: random.Random) -> ScopedController:
+        from stairhatch.scope.decisions import ScopedController
+
+        return ScopedController(self.config.settings, rng, config)
+
+    def _scope_changed(self, numbers: Numbers, classes: tuple[str, ...], came: bool) -> None:
+        """A set of servers has come into scope or left: links are opened, or ended when nothing is due."""
+        mine = [s for s in self.core.servers.values() if numbers is None or s.listing.number in numbers]
+        self.counters.add("scopes_in" if came else "scopes_out")
+        self.log("scope", state="in" if came else "out", classes=",".join(classes), servers=len(mine))
+        for server in mine:
+            self.core.side.listed(server)
+
     def listen(self) -> str:
         """Open the fronts; returns their addresses."""
         config, network, core = self.config, self.network, self.core
@@ -306,12 +326,16 @@
                 self.directory.move(new.coordinator)
         elif new.known != old.known:  # the list in the file is the whole list
             self.core.list_servers(listed[0][1], complete=True)
+        if self.scoped is not None and new.scope is not None and new.scope != old.scope:
+            self.scoped.retune(self.scoped.settings, new.scope)
         if new.settings != old.settings:
             self.core.retune(self.fleet.tuned(new.settings) if self.fleet is not None else new.settings)
             self.counters.add("retunes")
         later = []
         if self.front is not None and new.sip is not None and not self.front.reconfigure(new.sip):
             later.append("sip")
+        if (new.scope is None) is not (old.scope is None):
+            later.append("scope")
         for name in ("name", "listen", "console", "sockets", "memory_mb", "syslog", "fleet"):
             if getattr(new, name) != getattr(old, name):
                 later.append(name)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -61,9 +61,14 @@
     The script gets the message and a function that sends an answer on the same connection.
     """
 
-    def __init__(self, script: Callable[[dict, Callable[..., None]], None] | None = None, port: int = 0):
+    def __init__(
+        self,
+        script: Callable[[dict, Callable[..., None]], None] | None = None,
+        port: int = 0,
+        host: str = "127.0.0.1",
+    ) -> None:
         self.script = script or self.answers
-        self.listener = socket.create_server(("127.0.0.1", port))
+        self.listener = socket.create_server((host, port))
         self.port = self.listener.getsockname()[1]
         self.got: list[tuple[float, dict]] = []
         self.links: list[socket.socket] = []
--- a/tests/test_appliance_config.py
+++ b/tests/test_appliance_config.py
@@ -95,7 +95,8 @@
     assert "stairhatch.service" in names
     for name in ("click", "msgspec", "sqlite3", "stairhatch.cli", "stairhatch.sip.front"):
         assert name not in names
-    assert not [name for name in names if name.startswith(("stairhatch.fleet", "stairhatch.config.app"))]
+    parts = ("stairhatch.fleet", "stairhatch.scope", "stairhatch.config.app")
+    assert not [name for name in names if name.startswith(parts)]
 
 
 def test_users_are_taken_by_a_reload_and_ipv6_is_served(tmp_path):
--- a/tests/test_scope.py
+++ b/tests/test_scope.py
@@ -6,6 +6,7 @@
 
 import heapq
 import random
+import socket
 from collections import Counter
 from dataclasses import replace
 
@@ -13,9 +14,17 @@
 
 from stairhatch import interface as say
 from stairhatch.choice import Controller
+from stairhatch.config import ConfigError
+from stairhatch.config.appliance import config_from
 from stairhatch.interface import Ending, Report, Standing
+from stairhatch.node import message as sip
+from stairhatch.node.core import Core, Counters, Listing, Offer
+from stairhatch.node.roster import RosterSide
 from stairhatch.scope.decisions import LOOK, OVER_S, ScopedController
 from stairhatch.scope.sets import ScopeConfig, Service, server_sets
+from stairhatch.standin.ports import free_port
+
+from .peers import ROOT, Caller, Program, RosterServer, sip_headers, until
 
 NEVER = 1e6
 
@@ -453,3 +462,254 @@
         found[divisor] = max(most_in_a_window(took[server], safety.fall_s) for server in chilled)
         assert sum(map(len, took.values())) > 8, "nothing was sent at all"
     assert 0 < found[sharing] <= budget < found[1], (found, budget)
+
+
+TEXT = (ROOT / "deploy" / "sip.toml").read_text()
+
+
+@pytest.mark.parametrize(
+    ("more", "complaint"),
+    [
+        ("idle = 5", r"scope\.idle: unknown key; did you mean idle_s"),
+        ("idle_s = 0.5", r"scope\.idle_s: expected float >= 1"),
+        ('services = [{ classes = ["read-rooster"] }]', r"scope\.services\[0\]\.classes\[0\]: .* did you mean read-roster"),  # noqa: E501
+        ("services = [{ classes = [] }]", r"scope\.services\[0\]\.classes: expected array of length >= 1"),
+        ('services = [{ classes = ["read-roster"] }, { classes = ["read-roster"] }]', r"scope\.services\[1\]\.classes\[0\]: 'read-roster' stands twice"),  # noqa: E501
+        ('services = [{ classes = ["read-roster"], softswitches = 2 }]', r"scope\.services\[0\]\.softswitches: above settings\.balancers, which is 1"),  # noqa: E501
+        ('services = [{ classes = ["read-roster"], softswitches = 0 }]', r"scope\.services\[0\]\.softswitches: expected int >= 1"),  # noqa: E501
+        ('services = [{ classes = ["read-roster"], me = 0 }]', r"scope\.services\[0\]\.me: must be below softswitches"),  # noqa: E501
+        ('services = [{ classes = ["read-roster"], softswitches = 1 }]', r"scope\.services: read-roster and save-roster share servers: tell the same"),  # noqa: E501
+        ('services = [{ classes = ["x"], share = 1 }]', r"scope\.services\[0\]\.share: unknown key"),
+    ],
+)  # fmt: skip
+def test_a_scope_that_cannot_be_used_is_named(more, complaint):
+    """Guards against a divisor that takes a default without a word: cold servers are pushed over by that."""
+    with pytest.raises(ConfigError, match=complaint):
+        config_from(f"{TEXT}\n[scope]\n{more}\n", "x.toml", {})
+
+
+def test_a_scope_as_it_is_read():
+    """Guards against keys that are checked and lost, and a table that counts where it does not stand."""
+    assert config_from(TEXT, "x.toml", {}).scope is None
+    assert config_from(f"{TEXT}\n[scope]\n", "x.toml", {}).scope == ScopeConfig()
+    both = '{ classes = ["read-roster", "save-roster"], softswitches = 1, keep = true }'
+    told = config_from(f"{TEXT}\n[scope]\nidle_s = 5\nservices = [{both}]\n", "x.toml", {}).scope
+    assert told == ScopeConfig(5.0, (Service(("read-roster", "save-roster"), 1, -1, True),))
+
+
+class Heard:
+    """A caller that keeps what it is told."""
+
+    def __init__(self):
+        self.told = []
+
+    def __getattr__(self, name):
+        return lambda *each: self.told.append(name)
+
+
+class Linked:
+    """Core, scoped decisions and the roster side, with a clock set by hand and links that only record."""
+
+    def __init__(self, *classes):
+        self.now, self.dialled, self.calls = 1000.0, [], 0
+        settings = settings_of(*classes)
+        self.scoped = scoped(settings, idle_s=4.0)
+        self.scoped.changed = self.changed
+        self.core = Core(
+            settings, random.Random(1), lambda: self.now, lambda *a, **k: None, Counters(),
+            decisions=self.scoped,
+        )  # fmt: skip
+        self.core.in_scope = self.scoped.in_scope
+        self.side = RosterSide(self.core, self.dialled.append)
+        self.core.list_known = self.core.listening = True
+
+    def changed(self, numbers, classes, came):
+        for server in list(self.core.servers.values()):
+            self.side.listed(server)
+
+    def listing(self, name, number, standing=Standing.READY):
+        self.core.list_servers([Listing(name, ("127.0.0.1", 9), number, standing)], complete=False)
+
+    def offer(self, what):
+        self.calls += 1
+        caller = Heard()
+        call = self.core.offer(Offer(f"{self.calls:016x}", what, "7", "d", 5.0), caller)
+        return call, caller
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while (due := self.core.next_due()) is not None and due <= end:
+            self.now = max(self.now, due)
+            self.core.tick()
+        self.now = end
+
+
+def test_a_link_stays_until_the_call_that_stands_there_is_over():
+    """Guards against a release that finds no link, and the end of a call that comes on one that is gone: its
+    set leaves while it stands, and its server moves to a service that nobody here asks for.
+    """
+    a, b = kind("a", 1, 2), kind("b", 3)
+    inside = Linked(a, b)
+    for name, number in (("x", 1), ("y", 2), ("z", 3)):
+        inside.listing(name, number)
+    assert not inside.dialled and inside.core.awaits() == "", "it waits for what is out of scope"
+    call, caller = inside.offer(a)
+    assert [link.server.listing.instance for link in inside.dialled] == ["x", "y"]
+    for link in inside.dialled:
+        link.connected()
+    link = inside.side.links[call.attempt.server.id]
+    assert b'"START"' in link.pull()
+    link.receive(b'{"verb":"STARTED","tag":"%s","blob":"d"}\n' % call.offer.ident.encode())
+    assert caller.told == ["stood"]
+    other = next(each for each in inside.dialled if each is not link)
+    inside.run(30)
+    assert not inside.scoped.live and inside.core.counters.counts["calls_taken"] == 1
+    assert other.done() and not link.retired and not link.done()
+    inside.listing(link.server.listing.instance, 3)  # to another service, which is out of scope as well
+    inside.run(30)
+    assert not link.retired and not link.done()
+    inside.core.caller_released(call, 16)
+    assert not link.done(), "the release has not been written"
+    assert b'"FINISH"' in link.pull()
+    inside.run(5)
+    assert link.retired and link.done()
+    for each in (link, other):
+        each.side.drop(each)
+    assert not inside.side.links and not inside.side.leaving and len(inside.dialled) == 2
+    inside.offer(b)
+    at_three = [each.server.listing.instance for each in inside.dialled[2:]]
+    assert sorted(at_three) == sorted([link.server.listing.instance, "z"])
+
+
+def test_a_set_that_comes_back_while_its_links_end_has_links():
+    """Guards against a call that waits for a link that was given up a moment before."""
+    a, b = kind("a", 1), kind("b", 2)
+    inside = Linked(a, b)
+    inside.listing("x", 1)
+    inside.listing("z", 2)
+    call, _ = inside.offer(a)
+    link = inside.dialled[0]
+    link.connected()
+
+    def leaves(call):
+        assert b'"START"' in link.pull()
+        inside.core.caller_left(call)
+        assert b'"FINISH"' in link.pull()
+        link.receive(b'{"verb":"LOAD","opts":{"load":"free:5;size:9"}}\n')
+
+    leaves(call)
+    inside.run(20)
+    assert link.retired and not inside.scoped.live
+    call, _ = inside.offer(a)
+    assert not link.retired
+    leaves(call)
+    inside.run(20)
+    assert link.retired
+    link.side.drop(link)  # its connection has ended
+    assert len(inside.dialled) == 1
+    call, _ = inside.offer(a)
+    assert len(inside.dialled) == 2 and call.attempt.server.listing.instance == "x"
+
+
+def test_a_server_that_goes_without_ever_having_been_in_scope_is_forgotten():
+    """Guards against a record for each server that ever was, in lists of thousands that change daily."""
+    inside = Linked(kind("a", 1), kind("b", 2))
+    inside.listing("x", 1)
+    inside.listing("z", 2)
+    inside.offer(kind("a", 1))
+    inside.listing("z", 2, Standing.GONE)
+    inside.run(0.1)
+    assert [s.listing.instance for s in inside.core.servers.values()] == ["x"]
+    assert list(inside.scoped.lines) == [1]
+    inside.listing("z", 2)
+    inside.core.list_servers([Listing("x", ("127.0.0.1", 9), 1, Standing.READY)], complete=True)
+    inside.run(0.1)
+    assert [s.listing.instance for s in inside.core.servers.values()] == ["x"]
+
+
+PER, SERVICES = 3, 4
+
+
+def serve(folder, places):
+    """The appliance with services of three servers each, under a scope."""
+    port, door = free_port(), free_port()
+    lines = [
+        f'console = "127.0.0.1:{door}"', "trace = true", "[sip]", f'udp = "127.0.0.1:{port}"',
+        f'contact = "127.0.0.1:{port}"', "restart_wait_s = 0.2", 'default_class = "s0"',
+        "[scope]", "idle_s = 1",
+        "[settings.family_info]", "clear_wait_s = 0.5", "retransmit_s = 0.8",
+        f"allowed_pools = {[list(range(n * PER, n * PER + PER)) for n in range(SERVICES)]}",
+    ]  # fmt: skip
+    for n in range(SERVICES):
+        lines += ["[[settings.classes]]", f'name = "s{n}"', "aim_s = 1.0", "hard_limit_s = 3.0"]
+    for n, each in enumerate(places):
+        lines += ["[[servers]]", f'name = "r{n}"', f'address = "{each}"', f"number = {n}"]
+    path = folder / "scope.toml"
+    path.write_text("\n".join(lines) + "\n")
+    program = Program(folder, "serve", str(path)).ready(port, door)
+    if program is None:
+        return serve(folder, places)
+    program.path = path
+    return program
+
+
+def test_a_first_call_brings_its_servers_into_scope_and_no_others(tmp_path):
+    """Guards against links to the whole list, a first call that finds nothing, and a release that is lost
+    with its scope. Of four services one is asked for, and later one none of whose servers is there.
+    """
+    host = f"127.{random.randrange(2, 250)}.{random.randrange(250)}.1"  # no other story's program calls there
+    servers = [RosterServer(host=host) for _ in range(PER * (SERVICES - 1))]
+    mute = [socket.socket() for _ in range(PER)]  # bound, so that nobody else is, and not listening
+    for each in mute:
+        each.bind((host, 0))
+    ports = [*(each.port for each in servers), *(each.getsockname()[1] for each in mute)]
+    program = serve(tmp_path, [f"{host}:{port}" for port in ports])
+    program.serves()
+    assert program.order("check") == "ok serving, 0 of 0 roster servers connected"
+    assert not any(each.links for each in servers)
+    caller = Caller(program.address, udp=True)
+
+    def ask(call, service):
+        headers = sip_headers("INVITE", "1", f"z9hG4bK{call}", call, caller.host)
+        caller.send("INVITE", "sip:71@net", {**headers, "call-kind": service}, b"v=0")
+
+    ask("c1", "s1")
+    answer = caller.expect("c1", 200)
+    asked, others = servers[PER : 2 * PER], servers[:PER] + servers[2 * PER :]
+    until(lambda: all(len(each.links) == 1 for each in asked), "a link to each server of the service")
+    took = next(each for each in asked if each.of("START"))
+    name = f"r{servers.index(took)}"
+    tag = sip.parameters(answer.get("to"))["tag"]
+    more = {"host": caller.host, "to_tag": tag}
+    caller.send("ACK", "sip:71@net", sip_headers("ACK", "1", "z9hG4bKack", "c1", **more))
+    until(lambda: program.order("check") == f"ok serving, {PER} of {PER} roster servers connected", "links")
+    program.process.stdin.write(b"servers\nclasses\n")
+    program.process.stdin.flush()
+    until(lambda: "\ns3 " in program.text(), "the last class")
+    rows = [each.split() for each in program.text().splitlines()]
+    shown = [row[-1] for row in rows if row and row[0] in ("s0", "s1", "s2", "s3")]
+    assert shown == ["out", "in", "out", "out"]
+    links = {row[0]: row[4] for row in rows if len(row) > 5 and row[0][0] == "r" and row[3] == "ready"}
+    assert links == {f"r{n}": "up" if n // PER == 1 else "-" for n in range(PER * SERVICES)}
+
+    until(lambda: " scope state=out classes=s1 " in program.text(), "the scope leaves")  # behind a prompt
+    until(lambda: len(program.lines("link_lost")) == PER - 1, "the links on which no call stands end")
+    assert name not in [each["server"] for each in program.lines("link_lost")] and not took.of("FINISH")
+    caller.send("BYE", "sip:71@net", sip_headers("BYE", "2", "z9hG4bKbye", "c1", **more))
+    until(lambda: took.of("FINISH"), "the release at the server")
+    until(lambda: name in [each["server"] for each in program.lines("link_lost")], "then its link ends")
+
+    ask("c2", "s3")  # nobody is there
+    until(lambda: caller.finals("c2"), "a final answer")
+    ask("c3", "s1")
+    caller.expect("c3", 200)
+    assert [each["classes"] for each in program.lines("scope") if each["state"] == "in"] == ["s1", "s3", "s1"]
+    assert caller.finals("c2")[0] >= 400 and not any(each.links for each in others)
+    until(lambda: all(len(each.links) >= 2 for each in asked), "links anew")
+    text = program.path.read_text()
+    assert program.reload(text.replace("idle_s = 1", "idle_s = 900"))["result"] == "taken"
+    assert program.reload(text.replace("[scope]\nidle_s = 1\n", ""))["wants_restart"] == "scope"
+    assert program.stop() == 0
+    assert not any(each.links for each in others)
+    for each in mute:
+        each.close()
