Let the benchmark of scope call several services in turn, and name its commit

What a call costs where many sets are in scope was not asked, and a kept result has to tell its commit.

--- a/benchmarks/scope.py
+++ b/benchmarks/scope.py
@@ -14,6 +14,7 @@
 import json
 import platform
 import random
+import subprocess
 import sys
 import time
 from collections import deque
@@ -47,8 +48,8 @@
 class Drive:
     """One softswitch's decisions fed by hand."""
 
-    def __init__(self, decisions: Any, settings: say.Settings, listed: int) -> None:
-        self.decisions, self.kind = decisions, settings.classes[0]
+    def __init__(self, decisions: Any, settings: say.Settings, listed: int, asked: int) -> None:
+        self.decisions, self.kinds = decisions, settings.classes[:asked]
         self.now, self.calls, self.stood = 1000.0, 0, 0
         self.due: list[tuple[float, int, say.Event]] = []
         self.order = 0
@@ -85,16 +86,17 @@
                 self.tell(event)
             self.now = until
             self.calls += 1
-            choice = self.random.choice(self.kind.pools or (0,))
-            self.tell(say.CallOffered(self.calls, self.kind, choice, 9.0))
+            kind = self.kinds[self.calls % len(self.kinds)]
+            choice = self.random.choice(kind.pools or (0,))
+            self.tell(say.CallOffered(self.calls, kind, choice, 9.0))
         return (time.process_time() - began) / calls
 
 
-def measure(listed: int, calls: int, rounds: int) -> dict[str, Any]:
+def measure(listed: int, asked: int, calls: int, rounds: int) -> dict[str, Any]:
     """Both kinds at one size."""
     settings = settings_of(listed)
-    plain = Drive(Controller(settings, random.Random(1)), settings, listed)
-    scoped = Drive(ScopedController(settings, random.Random(1), ScopeConfig()), settings, listed)
+    plain = Drive(Controller(settings, random.Random(1)), settings, listed, asked)
+    scoped = Drive(ScopedController(settings, random.Random(1), ScopeConfig()), settings, listed, asked)
     found: dict[str, list[float]] = {"plain": [], "scoped": []}
     for drive in (plain, scoped):
         drive.run(WARM_UP)
@@ -114,12 +116,13 @@
     """Read the sizes, measure, print."""
     parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n\n")[0])
     parser.add_argument("--servers", default="24,100,400,1900")
+    parser.add_argument("--asked", type=int, default=1, help="services that are called, in turn")
     parser.add_argument("--calls", type=int, default=300, help="a round")
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--json", action="store_true")
     told = parser.parse_args()
     sizes = [int(text) for text in told.servers.split(",")]
-    found = [measure(size, told.calls, told.rounds) for size in sizes]
+    found = [measure(size, told.asked, told.calls, told.rounds) for size in sizes]
     first, last = found[0]["us_a_call"], found[-1]["us_a_call"]
     ratio = {name: round(last[name] / first[name], 3) for name in first}
     slope = {
@@ -127,6 +130,9 @@
     }  # µs a call for each more server listed
     if told.json:
         print(json.dumps({
+            "commit": subprocess.run(
+                ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=False
+            ).stdout.strip(),
             "command": " ".join(["benchmarks/scope.py", *sys.argv[1:]]), "python": platform.python_version(),
             "rate": RATE, "sizes": found, "last_over_first": ratio, "slope_us_a_server": slope,
         }, indent=1))  # fmt: skip
