Refuse settings that lack a key or hold a wrong type, by the key's name

What is there is checked by it at every front; on the platform and the simulator's wire nothing may be missing either. In an operator's own file a key may still be left out. me of no node, and lists with more or fewer lines than classes, are refused. The platform's file is held to the same: limits, name, seed, known, addresses.

Test changed: a me that is text, negative or not below balancers counted as not told; what was meant is a guess, so it is refused now, which keeps what the test guards: no node takes itself for the first. Settings in tests were completed by the figures that held by default; the complaints looked for are longer than before.

--- a/stairhatch/config/__init__.py
+++ b/stairhatch/config/__init__.py
@@ -43,9 +43,11 @@
     raw: Any = None  # as it was read, of what must not lose a key
 
 
-def checked_settings(raw: Any) -> Settings:
-    """The settings, in which each class can be told by its name."""
-    settings = settings_from(raw)[0]
+def checked_settings(raw: Any, complete: bool) -> Settings:
+    """The settings, in which each class can be told by its name. SettingsError where a key can't be used, or
+    is missing where they have to be complete.
+    """
+    settings = settings_from(raw, complete=complete)[0]
     names = [kind.name for kind in settings.classes]
     if not names or len(set(names)) < len(names):
         raise ConfigError(f"settings.classes: {'two have one name' if names else 'there is none'}")
--- a/stairhatch/config/appliance.py
+++ b/stairhatch/config/appliance.py
@@ -434,7 +434,7 @@
         raise ConfigError(f"{path}: no TOML: {error}") from None
     try:
         table = check(raw)
-        settings = checked_settings(raw["settings"])
+        settings = checked_settings(raw["settings"], complete=False)  # a key may be left out
         listed = _servers(table)
         if not listed and not table.coordinator:
             raise ConfigError("neither [[servers]] nor a coordinator is given")
@@ -457,9 +457,7 @@
             tracing=environ.get("STAIRHATCH_TRACE") == "1" or table.trace,
             fleet=_fleet(table, Path(path).resolve().parent),
         )
-    except SettingsError as error:
-        raise ConfigError(f"{path}: settings: {str(error).removeprefix('boot_info: ')}") from None
-    except ConfigError as error:
+    except (ConfigError, SettingsError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -33,15 +33,32 @@
 PATIENCE_S = 20.0  # how long a story waits for what must come; far more than it takes
 SETTINGS = {
     "balancers": 1,
+    "me": 0,
+    "period_s": 0.005,
     "classes": [
-        {"name": "read-roster", "aim_s": 1.5, "hard_limit_s": 9.0, "importance": 1.0, "late_worth": 0.25},
-        {"name": "save-roster", "aim_s": 1.5, "hard_limit_s": 9.0, "importance": 3.0, "late_worth": 0.1},
+        {
+            "name": "read-roster", "aim_s": 1.5, "hard_limit_s": 9.0, "importance": 1.0, "late_worth": 0.25,
+            "effect": "read_like",
+        },
+        {
+            "name": "save-roster", "aim_s": 1.5, "hard_limit_s": 9.0, "importance": 3.0, "late_worth": 0.1,
+            "effect": "read_like",
+        },
     ],
-    "family_info": {"allowed_pools": [[0, 1], [0, 1]], "clear_wait_s": 0.5, "retransmit_s": 0.8},
+    "family_info": {
+        "allowed_pools": [[0, 1], [0, 1]], "call_length_s": [10.0, 10.0], "clear_wait_s": 0.5,
+        "retransmit_s": 0.8, "self_no": -1,
+    },
     "load_report": {"names": ["free", "size", "mean_ms", "can_take"]},
-    "permissions": {"send_cap": 6, "cancel": True, "retry_after": True, "max_retry_after_s": 2.0},
-    "safety": {"answer_slack_s": 0.02, "drain_grace_s": 1.0},
-}
+    "permissions": {
+        "send_cap": 6, "may_probe": False, "peers": False, "cancel": True, "retry_after": True,
+        "max_retry_after_s": 2.0, "connect_timeout_s": 0.5,
+    },
+    "safety": {
+        "answer_slack_s": 0.02, "drain_grace_s": 1.0, "cold_from": 0.25, "warm_after_s": 15.0,
+        "fall_multiple": 2.0, "fall_s": 1.0,
+    },
+}  # fmt: skip
 
 NUMBERED = ("read-roster", (("7", "save-roster", 0),))
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -11,7 +11,7 @@
 from stairhatch import interface as say
 from stairhatch.choice import AGEING_S, Controller
 from stairhatch.interface import Ending, Report
-from stairhatch.settings import settings_from
+from stairhatch.settings import SettingsError, settings_from
 
 from .conftest import SETTINGS, finals, sends
 
@@ -308,12 +308,19 @@
 
 @pytest.mark.parametrize(
     ("told", "number"),
-    [({}, 0), ({"balancers": 5}, -1), ({"balancers": 5, "me": 4}, 4), ({"balancers": 5, "me": 5}, -1),
-     ({"balancers": 5, "me": -1}, -1), ({"balancers": 5, "me": "2"}, -1), ({"me": 0}, 0)],
+    [({}, 0), ({"balancers": 5}, -1), ({"balancers": 5, "me": 4}, 4), ({"balancers": 5, "me": 5}, None),
+     ({"balancers": 5, "me": -1}, None), ({"balancers": 5, "me": "2"}, None), ({"me": 0}, 0)],
 )  # fmt: skip
 def test_a_node_knows_its_number_only_where_it_is_told(told, number):
-    """Guards against nodes that all take themselves for the first and use the same turns at cold servers."""
-    assert settings_from({"classes": [{"name": "a"}], **told})[0].number == number
+    """Guards against nodes that all take themselves for the first and use the same turns at cold servers. A
+    number that can't be one is refused: what was meant would be a guess.
+    """
+    raw = {"classes": [{"name": "a"}], **told}
+    if number is None:
+        with pytest.raises(SettingsError, match=r"settings\.me: must be"):
+            settings_from(raw)
+    else:
+        assert settings_from(raw)[0].number == number
 
 
 def test_size_and_width_of_the_module():
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -416,14 +416,17 @@
 
 def class_line(name, **more):
     """One class of the settings."""
-    return {"name": name, "aim_s": 1.5, "hard_limit_s": 9.0, "importance": 1.0, "late_worth": 0.25, **more}
+    return {
+        "name": name, "aim_s": 1.5, "hard_limit_s": 9.0, "importance": 1.0, "late_worth": 0.25,
+        "effect": "read_like", **more,
+    }  # fmt: skip
 
 
 def tuned(classes, cap=6):
     """Settings with these classes, each of which may go to both roster servers."""
     raw = {**SETTINGS, "classes": classes, "permissions": {**SETTINGS["permissions"], "send_cap": cap}}
-    pools = [[0, 1] for _ in classes]
-    return {**raw, "family_info": {**SETTINGS["family_info"], "allowed_pools": pools}}
+    lists = {"allowed_pools": [[0, 1] for _ in classes], "call_length_s": [10.0 for _ in classes]}
+    return {**raw, "family_info": {**SETTINGS["family_info"], **lists}}
 
 
 def paths(raw, at=()):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -219,9 +219,9 @@
         ("{", "no JSON"),
         ({"listen": "nowhere"}, "nowhere"),
         ({"settings": {**SETTINGS, "balancers": 0}}, "balancers"),
-        ({"settings": {"classes": 3}}, "boot_info"),
-        ({"known": {"index": 1}}, "directory event"),
-        ({"coordinator": None}, "no address"),
+        ({"settings": {"classes": 3}}, "settings.classes: must be a list, not 3"),
+        ({"known": {"index": 1}}, "known: directory event"),
+        ({"coordinator": None}, "coordinator: None is no address"),
     ],
 )
 def test_a_bad_configuration_ends_in_one_plain_line(tmp_path, change, says):
@@ -230,6 +230,7 @@
     config = {
         "name": "n0", "listen": f"127.0.0.1:{free_port()}", "coordinator": "127.0.0.1:1",
         "known": {"index": 0, "updates": []}, "settings": SETTINGS,
+        "limits": {"sockets": 1024, "memory_mb": 192},
     }  # fmt: skip
     path.write_text(change if isinstance(change, str) else json.dumps({**config, **(change or {})}))
     program = Program(tmp_path, RELAY_CONFIG=str(path) if change else "")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -16,13 +16,29 @@
 
 BOOT = {
     "balancers": 4,
-    "classes": [{"aim_s": 1.2, "hard_limit_s": 9.0, "importance": 6.0, "effect": "read_like", "new": 1}],
-    "family_info": {"allowed_pools": [[0, 1]], "call_length_s": [11.0], "clear_wait_s": 0.5, "self_no": -1},
+    "me": 1,
+    "period_s": 0.005,
+    "classes": [
+        {
+            "aim_s": 1.2, "hard_limit_s": 9.0, "importance": 6.0, "effect": "read_like", "new": 1,
+            "name": "plain", "late_worth": 0.0,
+        },
+    ],
+    "family_info": {
+        "allowed_pools": [[0, 1]], "call_length_s": [11.0], "clear_wait_s": 0.5, "self_no": -1,
+        "retransmit_s": 0.0,
+    },
     "load_report": {"how": "inline", "names": ["free", "size", "mean_ms", "unheard_of"]},
-    "permissions": {"send_cap": 5, "cancel": True},
-    "safety": {"cold_from": 0.28},
+    "permissions": {
+        "send_cap": 5, "cancel": True, "may_probe": False, "peers": False, "retry_after": True,
+        "max_retry_after_s": 0.0, "connect_timeout_s": 0.5,
+    },
+    "safety": {
+        "answer_slack_s": 0.0, "drain_grace_s": 0.0, "cold_from": 0.28, "warm_after_s": 15.0,
+        "fall_multiple": 2.0, "fall_s": 1.0,
+    },
     "a_new_key": [],
-}
+}  # fmt: skip
 DAY = [
     wire.Inventory(0, (wire.Entry(302190087, 0, 0, 0, 1.0, 0.0, 0), wire.Entry(7, 1, 0, 0, 1.0, 0.0, 0))),
     wire.Enlist(3, 99, json.dumps(BOOT).encode()),
