Hold the end with calls at each point of their life, and callers who come again too soon

SIGTERM was held by stories of a few points each; nothing held all of them at one instant, nor callers who do not stay away as long as they are told.

Stories only. Sixty calls of each front are open when the signal comes: standing, waiting for room, in a pause, queued on a link that can't come up, out, and one whose answer lies unread; the process is stopped for that instant, so that the signal and the answer come together. And twenty callers who come again at once during a drain.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -196,11 +196,8 @@
     assert starts(server).count(ident) == 1
 
 
-@pytest.mark.parametrize("by", ["cancel", "close", "half-close", "reset"])
-def test_who_leaves_while_the_link_comes_up_is_not_sent_on(stage, by):
-    """Guards against set-ups that lie in a link's queue until it is up. Its listener's queue is full, so that
-    the link can't come up before the story takes the connections in it.
-    """
+def full_gate():
+    """A listener whose queue is full, so that nobody comes through it, and those who fill it."""
     gate = socket.socket()
     gate.bind(("127.0.0.1", 0))
     gate.listen(0)
@@ -209,6 +206,15 @@
         each.setblocking(False)
         with contextlib.suppress(BlockingIOError):
             each.connect(gate.getsockname())
+    return gate, full
+
+
+@pytest.mark.parametrize("by", ["cancel", "close", "half-close", "reset"])
+def test_who_leaves_while_the_link_comes_up_is_not_sent_on(stage, by):
+    """Guards against set-ups that lie in a link's queue until it is up. Its listener's queue is full, so that
+    the link can't come up before the story takes the connections in it.
+    """
+    gate, full = full_gate()
     shut = RosterServer.__new__(RosterServer)
     shut.script, shut.listener, shut.port, shut.got, shut.links = None, gate, gate.getsockname()[1], [], []
     shut.script = RosterServer.answers
@@ -556,3 +562,95 @@
     assert b"follow=9" in directory.pull()
     answer(4)
     assert len([event for event, _ in told if event == "directory"]) == 1, "told once"
+
+
+# ---- the signal to end, with calls at each point of their life ----
+
+
+@pytest.mark.parametrize("front", ["platform", "appliance"])
+def test_the_end_answers_each_call_once_wherever_it_is(stage, front):
+    """Guards against a call that the end forgets, answers twice, or sends on when the drain's limit is past:
+    one stands, some are out, some wait for room, some lie in the queue of a link that can't come up (on the
+    platform, where the settings let it take its time), one waits in a pause, and the answer to one lies
+    unread when the signal comes. The process is stopped for that instant.
+    """
+    stand = set()  # the first few
+
+    def script(message, send):
+        if message["verb"] == "START" and len(stand) < 3:
+            stand.add(message["tag"])
+            send("STARTED", message["tag"], blob="kept")
+
+    servers = [RosterServer(script), RosterServer(script)]
+    gate, full = full_gate()
+    if front == "platform":
+        servers[1] = RosterServer.__new__(RosterServer)
+        servers[1].port, servers[1].got = gate.getsockname()[1], []
+    program, _ = stage(servers=servers, front=front)
+    calls = [(Caller(program.address), next(IDS)) for _ in range(60)]
+    for number, (caller, ident) in enumerate(calls):
+        place(caller, ident, front, (31, 47)[number % 2])
+    until(lambda: len(program.lines("taken")) == len(calls) and len(starts(*servers)) >= len(stand) + 3)
+    until(lambda: sum(200 in caller.finals(ident) for caller, ident in calls) == len(stand))
+    answered, paused, *_ = (tag for tag in starts(*servers) if tag not in stand)
+    say = {m["tag"]: each.say for each in servers for m in each.of("START")}
+    say[paused]("FINISH", paused, rc=41)
+    until(lambda: paused in [line["call"] for line in program.lines("outcome")])
+    program.process.send_signal(signal.SIGSTOP)
+    say[answered]("STARTED", answered, blob="late")
+    assert len(set(starts(*servers))) < len(calls), "some wait"
+    program.process.send_signal(signal.SIGTERM)
+    program.process.send_signal(signal.SIGCONT)
+    assert program.process.wait(PATIENCE_S) == 0
+    for caller, _ in calls:
+        until(lambda caller=caller: caller.closed, "the end of the connection")
+    finals = [caller.finals(ident) for caller, ident in calls]
+    if front == "appliance":  # a 200 goes again until its ACK, which is not sent here
+        finals = [sorted(set(each)) for each in finals]
+    assert all(len(each) == 1 for each in finals), finals
+    assert finals.count([200]) == len(stand) + 1 and {each[0] for each in finals} <= {200, 408, 480, 500, 503}
+    text = program.text()
+    limit = text.find(" drained ")
+    assert (limit > 0) == (front == "platform"), "there the limit is what ends it"
+    assert " attempt " not in text[limit:] or front != "platform", "nothing new after it"
+    tags = [line["call"] for line in program.lines("attempt")]
+    assert tags.count(answered) == 1 and all(tags.count(tag) == 1 for tag in stand)
+    ended = [m["tag"] for each in servers for m in each.of("FINISH")]
+    assert stand.isdisjoint(ended) == (front == "platform"), "there they live on"
+    for each in (gate, *full):
+        each.close()
+
+
+def place(caller, ident, front, first):
+    """A set-up that would go to the server of that number first."""
+    if front == "platform":
+        caller.invite(ident, "ebb", 15_000, routing_data=f"dest:{first};width:1;via:-1")
+    else:
+        headers = sip_headers("INVITE", "1", f"z9hG4bK{ident}", ident, caller.host, "TCP")
+        caller.send("INVITE", "sip:5@net", headers | {"expires": "3"}, b"d")
+
+
+def test_who_comes_again_too_soon_is_answered_and_not_served(stage):
+    """Guards against a drain that a caller holds up who does not stay away as long as told: each time it has
+    one refusal with the same advice, nothing goes to a server, and the drain that is undone serves it.
+    """
+    program, (server,) = stage(None)
+    caller = program.caller()
+    assert program.order("drain-on").startswith("ok")
+    kept, refused = next(IDS), []
+    caller.invite(kept, "ebb", 15_000)
+    until(lambda: caller.finals(kept))
+    while len(refused) < 20:  # without a pause; the first ones may come while calls are still taken
+        ident = next(IDS)
+        caller = program.caller() if caller.closed else caller
+        caller.invite(ident, "ebb", 15_000)
+        until(lambda ident=ident, caller=caller: caller.finals(ident) or caller.closed)
+        if caller.finals(ident) == [503]:
+            refused.append((caller, ident))
+    for told, ident in refused:
+        (answer,) = told.of(ident, 503)
+        assert int(answer.get("come-back-ms")) > 0 and ident not in starts(server)
+    assert program.order("drain-off").startswith("ok")
+    caller, ident = ask(program, "platform")
+    caller.expect(ident, 200)
+    assert program.stop() == 0
