Hold the sum of 20 and 30 softswitches at a cold server to N + 2 root N + 2

benchmarks/cold_ramp.py plays the real decisions on a virtual clock with a checker that counts what reaches the cold server: calm, half killed and started again, lists 3 s late, all other servers gone, and what else might add up (nodes without a number, numbers dealt anew, links that come up together, one busy node). It also plays real processes. tests/test_cold_ramp.py asserts the bound for 20 and 30, ten seeds each, at sites drawn from the seed and with the figures of deploy/sites. Without the pace of turns the checker tells that the bound is broken.

--- /dev/null
+++ b/tests/test_cold_ramp.py
@@ -0,0 +1,84 @@
+"""Rule 4 with twenty and thirty softswitches: beyond the budget of N set-ups in `fall_s` only 2 root N + 2
+are put down to chance (issue 35). The real decisions run on the virtual clock of `benchmarks/cold_ramp.py`,
+and its checker counts what reaches the cold server; `docs/cold.md` has the derivation.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from benchmarks.cold_ramp import Ramp, Result, Site, Story
+from stairhatch import interface as say
+from stairhatch.choice import Controller
+
+SMALL = Site(capacity=30.0, servers=3)
+
+
+def drawn(seed: int) -> Site:
+    """Settings and servers of other sites: every figure that the rule or the pace depends on."""
+    chance = random.Random(seed)
+    cold_from = chance.uniform(0.2, 0.6)
+    safety = say.Safety(
+        cold_from=cold_from,
+        warm_after_s=chance.uniform(5.0, 12.0),
+        fall_multiple=chance.uniform(1.3, 4.0),
+        fall_s=chance.uniform(0.5, 2.5),
+    )
+    return Site(
+        safety,
+        retransmit_s=chance.choice((0.0, 0.6, 0.8)),
+        connect_timeout_s=chance.choice((0.35, 0.5, 0.8)),
+        length_s=chance.uniform(4.0, 14.0),
+        capacity=chance.uniform(6.0, 40.0),
+        load=chance.uniform(0.5, 1.0),
+        servers=3,
+        tells_lines=chance.random() < 0.7,
+        tells_rate=chance.random() < 0.6,
+        even=chance.random() < 0.7,
+        overtold=chance.choice((1.0, 1.3)),
+    )
+
+
+def bitten(story: Story, processes: int, result: Result) -> bool:
+    """Whether what the story does to processes and links has happened, so that the bound was tested."""
+    least = {
+        Story.RESTARTED: processes // 2,
+        Story.BOTH: processes // 2,
+        Story.LATE: processes // 5,
+        Story.RENUMBERED: processes,
+        Story.LINKS_LATE: processes,
+    }
+    return result.bites >= least.get(story, 0)
+
+
+@pytest.mark.parametrize("processes", [20, 30])
+@pytest.mark.parametrize("story", Story)
+def test_no_window_of_a_cold_server_goes_beyond_the_budget_and_chance(story, processes):
+    """Guards against a fleet that pushes a cold server over, at sites of all kinds."""
+    for seed in range(10):
+        site = SMALL if seed % 4 == 0 else drawn(seed)
+        result = Ramp(site, story, processes, seed).run()
+        share, count, begun = result.fullest()
+        assert share <= 1.0, f"seed {seed}: {count} set-ups from {begun:.2f} s on, of {site.bound(begun):.1f}"
+        assert bitten(story, processes, result)
+
+
+KELP = Site(say.Safety(0, 0.7, 0.5, 9.0, 2.0, 1.0), 0.6, 0.35, 5.0, 20.0, 0.8, servers=3)
+MOSS = Site(say.Safety(0, 1.5, 0.2, 20.0, 4.0, 2.5), 0.0, 0.8, 12.0, 15.0, 0.9, servers=3)
+
+
+@pytest.mark.parametrize("site", [KELP, MOSS], ids=["kelp-watch", "moss-line"])
+@pytest.mark.parametrize("story", [Story.ALONE, Story.BOTH])
+def test_no_window_goes_beyond_it_at_the_made_up_sites(story, site):
+    """Guards against a pace that is right for one deployment: these are the figures of `deploy/sites/`."""
+    for processes in (20, 30):
+        assert Ramp(site, story, processes, 1).run().fullest()[0] <= 1.0
+
+
+def test_the_checker_tells_a_fleet_that_sends_too_much(monkeypatch):
+    """Guards against a checker or a load under which any pace would pass: without turns it is broken."""
+    monkeypatch.setattr(Controller, "has_turn", lambda core, now, server: True)
+    assert Ramp(replace(Site(), capacity=15.0), Story.ALONE, 30, 1).run().fullest()[0] > 1.0
