Let stand-ins serve by any clock, and count the bytes of claims and list

StandIn takes its timers and the interval of its states; its links are kept in the order of their coming, since a set's order differs between processes; what a coordinator tells is apart from its socket (Numbered) and counts questions and bytes; answers to the same number are made once. The fleet counts fleet_sent_bytes beside fleet_sent.

--- a/stairhatch/fleet/service.py
+++ b/stairhatch/fleet/service.py
@@ -196,8 +196,10 @@
 
     def send(self, to: Place, message: Message) -> None:
         """A message on its way."""
+        data = self.codec.encode(message)
         self.counters.add("fleet_sent")
-        self.output.append((self.codec.encode(message), to))
+        self.counters.add("fleet_sent_bytes", len(data))
+        self.output.append((data, to))
         self.wake()
 
     def carry(self, effects: list[Effect]) -> None:
--- a/stairhatch/standin/coordinator.py
+++ b/stairhatch/standin/coordinator.py
@@ -11,6 +11,7 @@
 
 Place = tuple[str, int]
 LONGEST_S = 30.0
+MOST_KEPT = 64  # answers
 
 
 def line(
@@ -23,12 +24,49 @@
     }  # fmt: skip
 
 
-class Coordinator:
-    """The list, numbered."""
+class Numbered:
+    """The list as a coordinator keeps it: each change has the next number. Free of I/O."""
 
     def __init__(self) -> None:
         self.events: list[dict[str, Any]] = []
         self.asked = 0  # questions so far
+        self.asked_bytes = self.told_bytes = 0  # of questions, and of answers with their heads
+        self._answers: dict[int, tuple[int, bytes]] = {}  # by `after`: up to which number, and the bytes
+
+    def tell(self, lines: list[dict[str, Any]], reset: bool = False) -> int:
+        """A change, with the next number."""
+        index = len(self.events) + 1
+        told = {"generation": index, "reset": reset or index == 1, "instances": lines}
+        self.events.append({"index": index, "endpoints": told})
+        return index
+
+    def answer(self, after: int) -> bytes:
+        """The answer to who knows all up to a number. Many ask after the same one: it is made once."""
+        last, data = self._answers.get(after, (-1, b""))
+        if last != len(self.events):
+            later = self.events[after:]
+            body = json.dumps({"index": after + len(later), "updates": later}).encode()
+            data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+            if len(self._answers) >= MOST_KEPT:
+                self._answers.clear()
+            self._answers[after] = len(self.events), data
+        self.told_bytes += len(data)
+        return data
+
+
+def read_question(line: bytes) -> tuple[int, float]:
+    """The number that a question names, and how long it wants to wait, in seconds. ValueError or IndexError
+    where it is none.
+    """
+    after = int(line.split(b"follow=")[1].split(b"&")[0])
+    return after, min(LONGEST_S, int(line.split(b"wait_ms=")[1].split(b" ")[0]) / 1000)
+
+
+class Coordinator(Numbered):
+    """Such a list on a socket."""
+
+    def __init__(self) -> None:
+        super().__init__()
         self.changed = asyncio.Event()  # a new one at each change
         self.place: Place = ("127.0.0.1", 0)
         self._server: asyncio.Server | None = None
@@ -49,9 +87,7 @@
 
     def tell(self, lines: list[dict[str, Any]], reset: bool = False) -> int:
         """A change, with the next number."""
-        index = len(self.events) + 1
-        told = {"generation": index, "reset": reset or index == 1, "instances": lines}
-        self.events.append({"index": index, "endpoints": told})
+        index = super().tell(lines, reset)
         self.changed.set()
         self.changed = asyncio.Event()
         return index
@@ -62,6 +98,7 @@
         self._tasks.add(task)
         with contextlib.suppress(OSError, ValueError, IndexError, asyncio.CancelledError):
             while text := await reader.readline():
+                self.asked_bytes += len(text)
                 if text.startswith(b"GET "):
                     await self._answer(text, writer)
         self._tasks.discard(task)
@@ -69,13 +106,10 @@
             writer.close()
 
     async def _answer(self, text: bytes, writer: asyncio.StreamWriter) -> None:
-        after = int(text.split(b"follow=")[1].split(b"&")[0])
-        wait_s = min(LONGEST_S, int(text.split(b"wait_ms=")[1].split(b" ")[0]) / 1000)
+        after, wait_s = read_question(text)
         self.asked += 1
         if len(self.events) <= after:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), wait_s)
-        later = self.events[after:]
-        body = json.dumps({"index": after + len(later), "updates": later}).encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        writer.write(self.answer(after))
         await writer.drain()
--- a/stairhatch/standin/roster.py
+++ b/stairhatch/standin/roster.py
@@ -1,6 +1,7 @@
 """A stand-in roster server on a socket: speaks the JSON lines of its side and does with each call what
-`behaviour` says, or what its processor can bear where it has one. It must never outlive `close`, and records
-what it was told for whoever checks.
+`behaviour` says, or what its processor can bear where it has one. Its timers may be a virtual clock's, and a
+link's transport anything that writes: then it serves without a socket. It must never outlive `close`, and
+records what it was told for whoever checks.
 """
 
 from __future__ import annotations
@@ -8,7 +9,7 @@
 import asyncio
 import json
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 from stairhatch.standin.behaviour import FULL, Say, ends, script_for, stands
 from stairhatch.standin.processor import Processor, Verdict
@@ -22,6 +23,14 @@
     return f"mean_ms:{1000 * wait_s:.1f};can_take:{rate:.2f}"
 
 
+class Timers(Protocol):
+    """What a server needs of a loop."""
+
+    def time(self) -> float: ...
+    def call_later(self, delay: float, callback: Callable[..., Any], *args: Any) -> Any: ...
+    def call_at(self, when: float, callback: Callable[..., Any], *args: Any) -> Any: ...
+
+
 class Link(asyncio.Protocol):
     """One connection of a softswitch."""
 
@@ -31,13 +40,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """It tells its state at once."""
         self.transport = cast(asyncio.Transport, transport)
-        self.server.links.add(self)
+        self.server.links[self] = None
         self.state()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The softswitch has gone."""
         self.closed = True
-        self.server.links.discard(self)
+        self.server.links.pop(self, None)
 
     def state(self) -> None:
         """Tell the server's state, now and then again."""
@@ -46,7 +55,7 @@
             wait_s, rate = (0.001, 500.0) if self.server.processor is None else self.server.told_load()
             load = f"free:{max(0, lines - open_now)};size:{lines};{told(wait_s, rate)}"
             self.say({"verb": "LOAD", "tag": "", "opts": {"load": load}})
-            asyncio.get_running_loop().call_later(STATE_S, self.state)
+            self.server.timers.call_later(self.server.state_s, self.state)
 
     def say(self, line: dict[str, Any]) -> None:
         """Write a line."""
@@ -68,18 +77,26 @@
         script: Callable[[str], tuple[Say, ...]] = script_for,
         lines: int = SIZE,
         processor: Processor | None = None,
+        timers: Timers | None = None,
+        state_s: float = STATE_S,
     ) -> None:
-        self.script, self.lines, self.processor = script, lines, processor
+        self.script, self.lines, self.processor, self.state_s = script, lines, processor, state_s
+        self._timers = timers
         # For whoever checks: what a call's number was sent, answered or ended with.
         self.seen: Callable[[str, str], None] = lambda what, number: None
         self.numbers: dict[str, str] = {}  # of the calls that are open
-        self._due: asyncio.TimerHandle | None = None
+        self._due: Any = None
         self.place: tuple[str, int] = ("127.0.0.1", 0)
         self.open: dict[str, Link] = {}
-        self.links: set[Link] = set()
+        self.links: dict[Link, None] = {}  # in the order of their coming
         self.stood = self.set_ups = self.released = 0
         self._server: asyncio.Server | None = None
 
+    @property
+    def timers(self) -> Timers:
+        """The clock it serves by: the running loop's, unless another was given."""
+        return self._timers if self._timers is not None else asyncio.get_running_loop()
+
     async def listen(self, host: str = "127.0.0.1", port: int = 0) -> StandIn:
         """Begin to serve, at a port of the system's choice unless one is named."""
         loop = asyncio.get_running_loop()
@@ -108,7 +125,7 @@
     def told_load(self) -> tuple[float, float]:
         """Wait in seconds and rate, as the processor reports them."""
         assert self.processor is not None
-        return self.processor.told(asyncio.get_running_loop().time())
+        return self.processor.told(self.timers.time())
 
     def told(self, link: Link, message: dict[str, Any]) -> None:
         """A line has come."""
@@ -124,7 +141,7 @@
                     return
                 for each in self.script(number):
                     if each.after_s:
-                        asyncio.get_running_loop().call_later(each.after_s, self._say, tag, each)
+                        self.timers.call_later(each.after_s, self._say, tag, each)
                     else:
                         self._say(tag, each)
             case "FINISH":
@@ -133,12 +150,12 @@
                 if known:
                     self.seen("given up", self.numbers.pop(tag, ""))
                 if self.processor is not None:
-                    self.processor.release(asyncio.get_running_loop().time(), tag)
+                    self.processor.release(self.timers.time(), tag)
                     self._look()
 
     def _bear(self, tag: str, processor: Processor) -> None:
         """A set-up meets the processor."""
-        match processor.offer(asyncio.get_running_loop().time(), tag):
+        match processor.offer(self.timers.time(), tag):
             case Verdict.TURNED_AWAY:
                 self._say(tag, ends(0.0, FULL))
             case Verdict.DOWN:
@@ -147,7 +164,7 @@
 
     def _look(self) -> None:
         """Answer what is done, and look again when the next is."""
-        processor, loop = self.processor, asyncio.get_running_loop()
+        processor, loop = self.processor, self.timers
         if processor is None:
             return
         for tag in processor.done(loop.time()):
