Play hundreds of softswitches on one virtual clock, held against real ones

What the list, claims and decisions do among hundreds could not be seen: as processes they are too many for one machine. stairhatch scale FILE feeds the program's own Core, Controller, RosterSide, Directory and Fleet the bytes that would cross sockets, on one virtual clock, with delay, loss, cuts, restarts, racks, cold servers and a call graph up to 11 deep, from a seed; beside that the same small scenario is played by 2 to 8 real processes and by as many hollow ones, and nine ratios have to lie within the file's bounds.

--- a/stairhatch/cli.py
+++ b/stairhatch/cli.py
@@ -206,6 +206,38 @@
     sys.exit(1 if any(each.broken or each.figures["void"] for each in runs) else 0)
 
 
+@main_group.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--out", default="experiments", type=click.Path(path_type=Path), show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="what the seed decides as one JSON object")
+@click.option("--quiet", is_flag=True, help="no lines of progress")
+def scale(file: Path, out: Path, as_json: bool, quiet: bool) -> None:
+    """Play the many softswitches of FILE on a virtual clock and hold them against real processes; keep the
+    run as JSON, a table and a chart under --out. Exit code 1: a figure is out of its bounds, or the run
+    proves nothing. 130: Ctrl-C; nothing is kept.
+    """
+    from stairhatch.scale import keep
+    from stairhatch.scale.plan import ScaleError, read_plan
+    from stairhatch.scale.run import carry_out
+
+    def tell(text: str) -> None:
+        if not quiet:
+            click.echo(text, err=True)
+
+    try:
+        result = carry_out(read_plan(file), tell)
+        where = keep.keep(result, out, f"stairhatch scale {file.name}")
+    except ScaleError as error:
+        click.echo(f"stairhatch: {error}", err=True)
+        sys.exit(2)
+    except KeyboardInterrupt:
+        click.echo("stairhatch: ended by Ctrl-C; nothing is kept", err=True)
+        sys.exit(130)
+    click.echo(keep.result_json(result) if as_json else keep.lines(result), nl=False)
+    tell(f"kept in {where}")
+    sys.exit(1 if result.broken else 0)
+
+
 def _door(file: str) -> tuple[str, int]:
     config = _read(file)
     if config.console is None:
--- a/stairhatch/load/experiment.py
+++ b/stairhatch/load/experiment.py
@@ -196,17 +196,22 @@
     return "\n".join(lines) + "\n"
 
 
+def commit_now() -> str:
+    """This tree's commit; with a plus where it was changed since."""
+    try:
+        changed = "+" if _git("status", "--porcelain", "stairhatch") else ""
+        return _git("rev-parse", "--short", "HEAD") + changed
+    except PlanError:
+        return "unknown"  # no repository: a copy of the tree
+
+
 def keep(experiment: Experiment, runs: list[Run], folder: Path, command: str) -> Path:
     """Write JSON, table and chart into a folder of the experiment's name; returns it."""
     from stairhatch.load.chart import draw
 
     where = folder / experiment.name
     where.mkdir(parents=True, exist_ok=True)
-    try:
-        changed = "+" if _git("status", "--porcelain", "stairhatch") else ""
-        commit = _git("rev-parse", "--short", "HEAD") + changed
-    except PlanError:
-        commit = "unknown"  # no repository: a copy of the tree
+    commit = commit_now()
     value = {
         "commit": commit, "command": command, "experiment": msgspec.to_builtins(experiment),
         "runs": [msgspec.to_builtins(each) for each in runs],
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,7 @@
 LAYERS = (
     ("interface", "choice", "settings", "wire", "", "adapter"), ("node",), ("admission", "fleet"), ("sip",),
     ("config",), ("service",), ("start", "users"), ("standin",), ("conform", "demo", "load"), ("lab",),
-    ("cli",), ("__main__",),
+    ("scale",), ("cli",), ("__main__",),
 )  # fmt: skip
 MODULES = {
     ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
