Wait for a run's last answers, and fit a slope that has a figure of nothing

Calls still under way when a run of the program was over counted as not answered: 9 of 584 at 200 servers listed, so that no figure was had there. And a process so busy that it asked the coordinator nothing at 1,900 gave a median of 0, whose weight in the search for the bend was without bound: the fit ended in a fault and the slope was not kept.

A run waits up to a second for its last answers; a median weighs as a thousandth of the largest at least.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -28,6 +28,7 @@
 BEGIN, END = "<!-- begin: benchmarks/capacity.py -->", "<!-- end: benchmarks/capacity.py -->"
 BENT = 0.1  # a line that misses a median by more than this share of it, and by more than its spread, is bent
 LEAST_SIZES = 4
+LEAST_WEIGHED = 0.001  # a median counts as this share of the largest at least: 0 is no measure of a miss
 
 # The size expected within two years, and what is allowed at it.
 SERVERS, SERVICE, CALLS_A_SECOND, DESCRIPTORS = 1900, 10, 137, 1024
@@ -106,12 +107,12 @@
 
 def _bend(points: Sequence[Point]) -> float:
     """The inner size at which two lines that meet there leave the least, as shares of the medians."""
-    most = max(point.size for point in points)
+    most, least = max(point.size for point in points), LEAST_WEIGHED * max(abs(p.median) for p in points)
     left: list[tuple[float, float]] = []
     for knot in (point.size for point in points[1:-1]):
         rows, wanted = [], []
         for point in points:
-            weight = 1 / max(abs(point.median), 1e-12)
+            weight = 1 / max(abs(point.median), least, 1e-12)
             x, over = point.size / most, max(0.0, point.size - knot) / most
             rows.append((weight, weight * x, weight * over))
             wanted.append(weight * point.median)
@@ -325,7 +326,7 @@
     size = slope.reaches(row.budget / row.factor)
     breaks = 0.0 if size is None else size
     more = f"{shown(value / row.budget)} times too much"
-    where = f"from {shown(math.floor(breaks))} {slope.by} on" if breaks >= 1 else "at any size"
+    where = f"from {math.floor(breaks):,} {slope.by} on" if breaks >= 1 else "at any size"
     return Judged(row, value, beyond, breaks, f"**breaks** {where}; {more}")
 
 
@@ -351,7 +352,7 @@
                 figure = f"{shown(each.value)} {row.unit}".strip() + (
                     " (extrapolated)" if each.beyond else ""
                 )
-                slope = f"`{row.slope}`, {shown(row.size)} {slopes[row.slope].by}"
+                slope = f"`{row.slope}`, {row.size:,.0f} {slopes[row.slope].by}"
             if row.budget is not None:
                 budget = f"{shown(row.budget)} {row.unit}".strip() + f", {row.told}"
             out.append(f"| {row.what} | {figure} | {budget} | {each.verdict} | {slope} |")
@@ -362,7 +363,7 @@
     out += ["### What breaks first", ""]
     for place, (size, _, each) in enumerate(breaks):
         by = slopes[each.row.slope].by
-        out.append(f"{place + 1}. {each.row.role}, {each.row.what}: from {shown(math.floor(size))} {by} on.")
+        out.append(f"{place + 1}. {each.row.role}, {each.row.what}: from {math.floor(size):,} {by} on.")
     out += [] if breaks else ["Nothing that was measured."]
     out += ["", "### The slopes", ""]
     out += [
@@ -372,12 +373,12 @@
     for slope in slopes.values():
         found = fit(slope.points)
         at = "; ".join(
-            f"{shown(p.size)}: {shown(p.median)} ({shown(min(p.values))} to {shown(max(p.values))})"
+            f"{p.size:,.0f}: {shown(p.median)} ({shown(min(p.values))} to {shown(max(p.values))})"
             for p in slope.points
         )
         at += f"; not had: {'; '.join(slope.missing)}" if slope.missing else ""
         bend = "straight" if len(slope.points) >= LEAST_SIZES else "too few sizes"
-        bend = bend if found.bend is None else shown(found.bend)
+        bend = bend if found.bend is None else f"{found.bend:,.0f}"
         sign = "+" if found.step >= 0 else "-"
         line = f"{shown(found.base)} {sign} {shown(1000 * abs(found.step))} by 1,000 {slope.by}"
         run = f"{slope.commit}, {slope.date}, `{slope.command}`"
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -71,6 +71,7 @@
 WORKERS = 4
 SETTLED_TERMS = 2  # of claims, from when nearly all are held until a fleet is at rest
 PATIENCE_S, SERVES_S = 60.0, 20.0
+LATE_S = 1.0  # that the last answers of a run may take
 MOST_UNSERVED = 0.01  # of the calls: with more, the others' figures are not those of this rate
 BLOCKS, BLOCK_S = 7, 1.0  # in turn, through the softswitch and directly
 
@@ -651,6 +652,9 @@
         "count": count, "passed": passed, "main": after[0] - used[0], "others": after[1] - used[1],
         "switches": where.switches() - switches, "before": spans,
     }  # fmt: skip
+    late = time.monotonic() + LATE_S
+    while via.sent and time.monotonic() < late:
+        await asyncio.sleep(0.01)
     via.transport.close()
     unserved = via.other + len(via.sent)
     if unserved > MOST_UNSERVED * (count + rate):
