--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,6 +7,7 @@
 import json
 import random
 import re
+import shutil
 from dataclasses import replace
 
 import pytest
@@ -59,6 +60,12 @@
     assert capacity.fit(points(*made, spread=8.0)).bend is None
 
 
+def test_a_figure_of_nothing_is_no_fault_of_the_fit():
+    """Guards against a fit that ends in a fault where a saturated process sent nothing at the last size."""
+    made = points((24, 69.0), (100, 69.0), (400, 69.0), (1900, 0.0))
+    assert capacity.fit(made).bend == 400
+
+
 def judged(row: Row, made: Slope) -> capacity.Judged:
     return capacity.judge(replace(row, slope=made.name), {made.name: made})
 
@@ -120,11 +127,29 @@
 def test_the_page_says_what_was_measured():
     """Guards against a page and figures that part: its tables are made anew from the kept slopes."""
     slopes = capacity.read_all()
+    assert slopes, "no slope is kept"
     assert capacity.between(capacity.PAGE.read_text()) == capacity.tables(
         slopes
     ), "benchmarks/capacity.py --write"
 
 
+def test_a_changed_figure_is_found(tmp_path):
+    """Guards against a figure changed by hand: alone it is not its fit's, with the fit not the page's."""
+    shutil.copytree(capacity.KEPT, tmp_path, dirs_exist_ok=True)
+    row = next(row for row in capacity.ROWS if row.slope in capacity.read_all())
+    path = tmp_path / f"{row.slope}.json"
+    raw = json.loads(path.read_text())
+    for point in raw["points"]:
+        point["values"] = [2 * value for value in point["values"]]
+    path.write_text(json.dumps(raw))
+    with pytest.raises(SlopeError, match=f"{row.slope}.json: the fit is not that of the points"):
+        capacity.read_all(tmp_path)
+    found = capacity.fit([Point(point["size"], tuple(point["values"])) for point in raw["points"]])
+    raw["fit"] = {"base": found.base, "step": found.step, "residual": found.residual, "bend": found.bend}
+    path.write_text(json.dumps(raw))
+    assert capacity.tables(capacity.read_all(tmp_path)) != capacity.between(capacity.PAGE.read_text())
+
+
 @pytest.mark.parametrize(
     ("key", "value", "why"),
     [
