Pass over what else is kept beside the slopes, and refuse a slope whose fit was lost

Every JSON file under docs/capacity/ was taken for a slope: a measurement of another kind kept there would have failed the page's test.

A file is a slope if it has a fit or its file's name in it; what can't be read is named with its file.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -215,8 +215,16 @@
 
 
 def read_all(folder: Path = KEPT) -> dict[str, Slope]:
-    """Every kept slope, by name."""
-    return {path.stem: read(path) for path in sorted(folder.glob("*.json"))}
+    """Every kept slope, by name. What else is kept there is passed over: a slope has a fit or its name."""
+    found = {}
+    for path in sorted(folder.glob("*.json")):
+        try:
+            raw = json.loads(path.read_text())
+        except (OSError, ValueError) as error:
+            raise SlopeError(f"{path.name}: {type(error).__name__}: {error}") from None
+        if isinstance(raw, dict) and ("fit" in raw or raw.get("name") == path.stem):
+            found[path.stem] = read(path)
+    return found
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -167,6 +167,19 @@
         capacity.read(path)
 
 
+def test_what_is_no_slope_is_passed_over_and_a_spoilt_slope_is_not(tmp_path):
+    """Guards against a folder that can't be shared, and a slope that is left out because its fit was lost."""
+    (tmp_path / "made_up.json").write_text(json.dumps(capacity.written(GROWING)))
+    (tmp_path / "days.json").write_text('{"runs": []}')
+    assert list(capacity.read_all(tmp_path)) == ["made_up"]
+    raw = capacity.written(GROWING)
+    del raw["fit"]
+    for text in (json.dumps(raw), "{"):
+        (tmp_path / "made_up.json").write_text(text)
+        with pytest.raises(SlopeError, match="made_up.json"):
+            capacity.read_all(tmp_path)
+
+
 def test_a_page_without_its_marks_is_refused():
     """Guards against a page whose generated part is gone and whose comparison would be of nothing."""
     for page in ("", capacity.END + capacity.BEGIN, capacity.BEGIN + capacity.BEGIN + capacity.END):
