Keep the program's slopes by servers listed, and let no line stand for a size that was tried in vain

At 1,900 servers listed the process takes no call and no change any more; the line through the smaller sizes said that both hold there.

A slope names the sizes that were tried and not to be had; a row at one breaks after the last size that was had.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -107,6 +107,18 @@
     assert "19.0 ms (extrapolated)" in capacity.tables({short.name: short}, [replace(ROW, slope=short.name)])
 
 
+def test_what_could_not_be_had_is_no_extrapolation():
+    """Guards against a line that says 'holds' for a size at which the program was tried in vain."""
+    why = "1900: never came within 20 s: a change"
+    made = replace(slope((24, 0.1), (100, 0.1), (400, 0.1)), missing=(why,))
+    found = judged(ROW, made)
+    assert found.value is None and found.verdict.startswith("**breaks** between 400 and 1,900")
+    told = capacity.tables({made.name: made}, [replace(ROW, slope=made.name)])
+    assert "| not to be had |" in told and "1. softswitch, a figure: after 400 servers listed." in told
+    tried_again = replace(made, points=(*made.points, Point(1900, (0.1,))))
+    assert judged(ROW, tried_again).verdict == "holds, 50.0 times"
+
+
 def test_what_was_not_measured_says_so():
     """Guards against a row that is left out, or shows a figure that nothing gave."""
     told = capacity.tables({}, [ROW])
