Spoil a link in the turn of its second set-up, and end programs with tests that fail

Under load test_a_spoilt_answer failed twice of some ten runs beside other work: [tag] saw 3 links for 2, and [bytes] no answer within 20 s. The story's own thread sent the noise up to a poll's wait after the set-ups; beyond 0.35 s of silence the program rightly dials a second link, and what it tried again there met a server that was still told to be silent. Processes of a test of the scope were found running half an hour after runs that had been cut off.

The server's own thread spoils the link as it reads the second set-up, and answers from then on; what is asserted is as before. The fixture that ends programs stands in conftest.py, and two tests that had none use it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -89,3 +89,12 @@
         return node
 
     return make
+
+
+@pytest.fixture
+def started():
+    """Programs that are ended with the test."""
+    programs = []
+    yield programs
+    for each in programs:
+        each.kill()
--- a/tests/test_pressed.py
+++ b/tests/test_pressed.py
@@ -110,15 +110,6 @@
     return len(os.listdir(f"/proc/{program.process.pid}/fd"))
 
 
-@pytest.fixture
-def started():
-    """Programs that are ended with the test."""
-    programs = []
-    yield programs
-    for each in programs:
-        each.kill()
-
-
 @pytest.mark.parametrize("again", [True, False], ids=["who come again", "who stay"])
 @pytest.mark.parametrize(("told", "real"), [(64, 64), (1024, 64), (64, 1024)])
 def test_callers_that_hold_on_do_not_keep_what_is_away_from_coming_back(
--- a/tests/test_scope.py
+++ b/tests/test_scope.py
@@ -656,7 +656,7 @@
     return program
 
 
-def test_a_first_call_brings_its_servers_into_scope_and_no_others(tmp_path):
+def test_a_first_call_brings_its_servers_into_scope_and_no_others(tmp_path, started):
     """Guards against links to the whole list, a first call that finds nothing, and a release that is lost
     with its scope. Of four services one is asked for, and later one none of whose servers is there.
     """
@@ -667,6 +667,7 @@
         each.bind((host, 0))
     ports = [*(each.port for each in servers), *(each.getsockname()[1] for each in mute)]
     program = serve(tmp_path, [f"{host}:{port}" for port in ports])
+    started.append(program)
     program.serves()
     assert program.order("check") == "ok serving, 0 of 0 roster servers connected"
     assert not any(each.links for each in servers)
--- a/tests/test_second_site.py
+++ b/tests/test_second_site.py
@@ -286,7 +286,7 @@
     ],
     ids=["a number no float holds", "a server's number", "memory", "a pause left out"],
 )
-def test_the_program_ends_with_one_line_and_2(tmp_path, told, place, text, says):
+def test_the_program_ends_with_one_line_and_2(tmp_path, started, told, place, text, says):
     """Guards against a start that ends in a traceback and exit code 1, as the first three did, or that goes
     on with another site's pause, as the last did.
     """
@@ -294,6 +294,7 @@
     assert whole.count(place) == 1
     path.write_text(whole.replace(place, text))
     program = Program(tmp_path, RELAY_CONFIG=str(path))
+    started.append(program)
     assert program.process.wait(20) == 2
     assert program.text().count("\n") == 1 and f"{path}: {says}" in program.text()
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -330,12 +330,17 @@
 def test_a_spoilt_answer_ends_its_link_and_all_its_set_ups_go_on(stage, noise):
     """Guards against set-ups that wait for answers on a link that can't be read any more."""
     program, _, (server,) = stage(SILENT)
+
+    def spoil(message, send):
+        """At the second set-up, at once: later the link would be held for silent, another one dialled."""
+        if len(server.of("START")) == 2:
+            server.script = RosterServer.answers
+            server.links[0].sendall(noise)
+
+    server.script = spoil
     caller, idents = program.caller(), [next(IDS), next(IDS)]
     for ident in idents:
         caller.invite(ident)
-    until(lambda: len(server.of("START")) == 2)
-    server.script = RosterServer.answers
-    server.links[0].sendall(noise)
     for ident in idents:
         caller.expect(ident, 200)
     assert len(server.links) == 2, "a new link, and only one"
