--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -247,6 +247,7 @@
 
 
 PER_CALL = CALLS_A_SECOND / 10  # ms a call to per cent of a core
+BROKEN_DOWN = "processor of one call at a softswitch, 24 servers listed"
 # The roles at the expected size. A row without a slope is one that has not been measured.
 ROWS = (
     Row("softswitch", "state: servers and links, memory of the process", "program_memory_by_servers", SERVERS,
@@ -294,6 +295,20 @@
     Row("softswitch", "processor of a change of one line", "decisions_change_by_servers", SERVERS, 1.0, "ms"),
     Row("softswitch", "a change in force, one softswitch", "program_change_by_servers", SERVERS, 1.0, "s",
         IN_FORCE_S, "everywhere"),
+    Row(BROKEN_DOWN, "the caller's messages read and parsed (INVITE, BYE)", "call_parse_by_servers",
+        24, 1.0, "ms"),
+    Row(BROKEN_DOWN, "the decisions, states of servers among them", "call_decide_by_servers", 24, 1.0, "ms"),
+    Row(BROKEN_DOWN, "the same at 200 listed", "call_decide_by_servers", 200, 1.0, "ms"),
+    Row(BROKEN_DOWN, "the core's books and timers", "call_core_by_servers", 24, 1.0, "ms"),
+    Row(BROKEN_DOWN, "lines to roster servers made", "call_ask_by_servers", 24, 1.0, "ms"),
+    Row(BROKEN_DOWN, "lines of roster servers parsed, states among them", "call_states_by_servers",
+        24, 1.0, "ms"),
+    Row(BROKEN_DOWN, "answers to callers handed out", "call_answer_by_servers", 24, 1.0, "ms"),
+    Row(BROKEN_DOWN, "the rest of the main thread: loop, tasks, system calls", "call_loop_by_servers",
+        24, 1.0, "ms"),
+    Row(BROKEN_DOWN, "all other threads, the log's among them", "call_log_thread_by_servers", 24, 1.0, "ms"),
+    Row(BROKEN_DOWN, "waits of the main thread (wake-ups of the loop)", "call_waits_by_servers",
+        24, 1.0, "waits"),
     Row("roster server", "connections, by softswitches", "server_connections_by_senders", SERVERS, 1.0, "",
         DESCRIPTORS, "the limit"),
     Row("roster server", "states told a second", "server_messages_by_senders", SERVERS, 1.0, "/s"),
