--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -587,7 +587,9 @@
                     self.loop.call_later(self.hold_s, self.release, ident)
 
     def release(self, ident: str) -> None:
-        """End a call that stands."""
+        """End a call that stands. Once the run is over its servers are ended, and nobody is left to tell."""
+        if self.transport.is_closing():
+            return
         headers = [("via", "SIP/2.0/TCP bench"), ("call-id", ident), ("cseq", "2 BYE")]
         self.transport.write(sip.request("BYE", "sip:x@net", headers))
 
