--- a/stairhatch/scale/run.py
+++ b/stairhatch/scale/run.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from stairhatch.scale.clock import BEGIN
-from stairhatch.scale.plan import FIGURES, Bound, Fleet, Plan, ScaleError, twin
+from stairhatch.scale.plan import FIGURES, Bound, Fleet, Plan, ScaleError, What, twin
 from stairhatch.scale.real import Processes
 from stairhatch.scale.world import World
 
@@ -40,8 +40,9 @@
     rest: float
 
     def of(self, plan: Plan) -> float:
-        """A run's."""
-        links = self.link * plan.softswitches * plan.servers
+        """A run's. The link to a server that is replaced is kept for a while beside the new one."""
+        replaced = sum(each.count for each in plan.event if each.what in (What.COLD, What.RACK))
+        links = self.link * plan.softswitches * (plan.servers + replaced)
         return self.rest + self.softswitch * plan.softswitches + self.server * plan.servers + links
 
 
