Take the readable lines of a list of which one can't be read, and send nothing new to it

Cause: one line of the coordinator's list that can't be read made the whole answer unusable; while it stayed so the list stood still, and drains told beside it went unheard.

Change: such an answer is asked for twice more from the same number (what was spoilt on its way is gone then). If it stays, the number is kept, the other lines hold, and the server of the line gets nothing new until a line says so; what stands there goes on. In a whole list none counts as gone for it, and a line without a name stops new set-ups to all that are not named. Whoever is handed the list by this softswitch is told the same.

--- a/stairhatch/node/directory.py
+++ b/stairhatch/node/directory.py
@@ -20,6 +20,8 @@
 WAIT_MS = 2000  # what is missed by a silent stop is asked for again so much sooner than with the longest wait
 WHOLE_S = WAIT_MS / 1000 + 0.7  # an answer that is not whole by then will not come on this connection
 MOST_BODY = 4 * 1024 * 1024
+TRIES = 3  # so often an answer with a line that can't be read is asked for, before the others are taken
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 SOON_S, PACE_S = 0.025, 0.1  # an answer that comes so soon and tells nothing new: the next question waits
 STATES = {
     "in_service": Standing.READY,
@@ -65,11 +67,65 @@
                 lines = [_listing(raw) for raw in told["instances"]]
                 changes.append((index, lines, bool(told.get("reset")) or after == 0))
             after = max(after, index)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         raise DirectoryError(f"directory event: {type(error).__name__}: {error}") from None
     return max(last, after), changes
 
 
+def _raw(line: Listing) -> dict[str, Any]:
+    """A line as the coordinator tells it."""
+    host, port = line.address
+    return {
+        "instanceId": line.instance, "hostPort": f"[{host}]:{port}" if ":" in host else f"{host}:{port}",
+        "cell": line.number, "lifecycle": "in_service", "startedAtMs": round(line.started_s * 1000),
+    }  # fmt: skip
+
+
+def pass_over_unread(core: Core, answer: Any, after: int) -> tuple[Any, str]:
+    """An answer without the lines in it that can't be read, and what was passed over; DirectoryError if it is
+    odd beyond that.
+
+    In their place stands that their servers get nothing new until a line says so, and that what stands there
+    goes on; only that a server is gone is believed of such a line. In a whole list a line without a name may
+    be that of any server not named. Guards against set-ups to a server whose drain was told in such a line,
+    which no rule allows; where it told that one is ready, the others bear its share meanwhile.
+    """
+    known = {
+        name: _raw(server.listing)
+        for name, server in core.by_instance.items()
+        if server.listing.standing is not Standing.GONE
+    }
+    events, said = [], []
+    try:
+        for event in answer["updates"]:
+            index, told = int(event["index"]), event.get("endpoints")
+            if index <= after or told is None:
+                events.append(event)
+                continue
+            lines: dict[str, Any] = {}
+            unread: dict[str, str] = {}
+            for raw in told["instances"]:
+                try:
+                    lines[_listing(raw).instance] = raw
+                except UNREADABLE as error:
+                    name = raw.get("instanceId") if isinstance(raw, dict) else None
+                    name = name if isinstance(name, str) else ""
+                    gone = bool(name) and raw.get("lifecycle") == "terminated"
+                    unread[name] = "terminated" if gone else "terminating"
+                    said.append(f"{name or 'a line'}: {type(error).__name__}: {error}"[:80])
+            complete = bool(told.get("reset")) or after == 0
+            if complete and "" in unread:
+                unread = {**dict.fromkeys(known, "terminating"), **unread}
+            held = {n: {**known[n], "lifecycle": unread[n]} for n in unread if n in known and n not in lines}
+            known = {**({} if complete else known), **lines, **held}
+            instances = [*lines.values(), *held.values()]
+            events.append({**event, "endpoints": {**told, "instances": instances}})
+            after = index
+    except UNREADABLE as error:
+        raise DirectoryError(f"directory event: {type(error).__name__}: {error}") from None
+    return {**answer, "updates": events}, "; ".join(said[:4])
+
+
 def apply_events(core: Core, answer: Any, after: int) -> int:
     """Tell the core what is new; returns the number of the last event. An odd answer changes nothing."""
     last, changes = read_events(answer, after)
@@ -90,6 +146,7 @@
         self.told: Callable[[Any], None] | None = None  # hears each answer that has been taken in
         self.may_ask: Callable[[], bool] | None = None  # whether it is this softswitch's turn to ask
         self._asked, self._asked_at = 0, 0.0
+        self._odd = 0  # answers since the last that could be taken
         self._older = False  # the last answer's number was below what is known
         self._parser: Any = None
         self._output = b""
@@ -113,7 +170,7 @@
     def handed(self, answer: Any) -> None:
         """The list came from whoever asks for all. What is odd changes nothing, what is old neither."""
         try:
-            self.after = apply_events(self.core, answer, self.after)
+            self._take(answer, pass_over=True)
         except DirectoryError as error:
             self.core.log("directory", why=f"handed on: {error}")
             return
@@ -152,6 +209,23 @@
         if asked == self._asked and self._parser is not None and not self.closing:
             self._ask()
 
+    def _take(self, answer: Any, pass_over: bool) -> Any:
+        """Take an answer in, and return it as it was taken. One with a line that can't be read is asked for
+        again, since it may have been spoilt on its way; where it stays so the other lines are taken.
+
+        Guards against a list that stands still for one line of it: drains told in the others went unheard.
+        """
+        self._odd += 1
+        said = ""
+        if pass_over:
+            answer, said = pass_over_unread(self.core, answer, self.after)
+        self.after = apply_events(self.core, answer, self.after)
+        self._odd = 0
+        if said:
+            self.core.counters.add("directory_lines_unread")
+            self.core.log("directory", why=f"passed over, nothing new goes there: {said}")
+        return answer
+
     def _look_at_number(self, index: int) -> None:
         """A coordinator that has lost its memory counts from an older number: what is known is kept, and the
         number asked for too, so that nothing is taken twice; whoever is on call is told.
@@ -200,7 +274,7 @@
         except ValueError:
             raise DirectoryError("answer is no JSON") from None
         keep, before = self._parser.should_keep_alive(), self.after
-        self.after = apply_events(self.core, answer, self.after)
+        answer = self._take(answer, pass_over=self._odd >= TRIES - 1)
         self._look_at_number(int(answer["index"]))
         self.answers, self.told_at = self.answers + 1, self.core.clock()
         self.core.list_known = True
--- a/tests/test_pressed.py
+++ b/tests/test_pressed.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 import socket
@@ -17,6 +18,7 @@
 from stairhatch.interface import Standing
 from stairhatch.node import message as sip
 from stairhatch.node.core import TRY_S, Listing
+from stairhatch.node.directory import TRIES, Directory
 from stairhatch.node.net import Descriptors
 from stairhatch.node.roster import RosterSide
 
@@ -258,3 +260,89 @@
         assert (name in waits) is (number * 0.1 < TRY_S), "the newest has not been tried"
         inside.run(0.1)
     assert not inside.core.awaits()
+
+
+# ---- a list that can't be read in part ----
+
+
+def test_a_line_that_cannot_be_read_holds_no_other_up_and_gets_nothing_new(tmp_path, started):
+    """Guards against a list that stands still for one line of it: the drain told beside it went unheard for
+    as long as the line was there, and calls went on to that server.
+    """
+    servers = [RosterServer() for _ in range(3)]
+    coordinator = Coordinator(*(instance(f"s-{n}", each.port, n % 2) for n, each in enumerate(servers)))
+    program = Program.on_platform(tmp_path, coordinator).serves()
+    started.append(program)
+    caller, stands = program.caller(), next(IDS)
+    caller.invite(stands, routing_data="dest:0;width:1;via:-1")
+    caller.expect(stands, 200)
+    (home,) = [each for each in servers if each.of("START")]
+    lines = [instance(f"s-{n}", each.port, n % 2) for n, each in enumerate(servers)]
+    at = servers.index(home)
+    drained, open_ = [n for n in range(3) if n != at]
+    lines[at]["lifecycle"] = "napping"
+    lines[drained]["lifecycle"] = "terminating"
+    coordinator.tell(lines[at], {"cell": "no name"}, lines[drained])  # returns once the next number is asked
+    states = {line["server"]: line["state"] for line in program.lines("listed")}
+    assert states == {f"s-{at}": "draining", f"s-{drained}": "draining", f"s-{open_}": "ready"}
+    passed = [line for line in program.lines("directory") if line["why"].startswith("passed")]
+    assert len(passed) == 1, "said once"
+    before = [len(each.of("START")) for each in servers]
+    for _ in range(6):
+        caller.invite(ident := next(IDS), within=9000)
+        caller.expect(ident, 200)
+    after = [len(each.of("START")) for each in servers]
+    assert [n for n in range(3) if after[n] > before[n]] == [open_]
+    home.say("FINISH", stands, rc=16)
+    caller.expect(stands, "BYE")
+
+
+def directory_of(*events, names="abc"):
+    """A directory that knows some servers, and what it hears of its next answers, one for each connection."""
+    inside = Inside()
+    RosterSide(inside.core, lambda link: None)
+    inside.core.servers.clear()
+    inside.core.by_instance.clear()
+    listed = [Listing(name, ("127.0.0.1", 9), 0, Standing.READY) for name in names]
+    inside.core.list_servers(listed, True)
+    directory, told = Directory(inside.core, ("127.0.0.1", 1), 4), []
+    directory.told = told.append
+    for event in events:
+        directory.connected()
+        body = json.dumps({"index": 5, "updates": [{"index": 5, "endpoints": event}]}).encode()
+        directory.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+    standings = {s.listing.instance: s.listing.standing.value for s in inside.core.by_instance.values()}
+    return directory, standings, told
+
+
+def test_a_list_spoilt_on_its_way_is_asked_for_again_before_its_other_lines_are_taken():
+    """Guards against a server that gets nothing more for a line that was spoilt once."""
+    good = {"reset": False, "instances": [instance("a", 9, state="terminating"), instance("b", 9)]}
+    odd = {"reset": False, "instances": [good["instances"][0], {**instance("b", 9), "hostPort": "?"}]}
+    directory, standings, _ = directory_of(*[odd] * (TRIES - 1))
+    assert directory.after == 4 and set(standings.values()) == {"ready"}
+    directory, standings, _ = directory_of(*[odd] * (TRIES - 1), good)
+    assert directory.after == 5 and standings == {"a": "draining", "b": "ready", "c": "ready"}
+    directory, standings, told = directory_of(*[odd] * TRIES)
+    assert directory.after == 5 and standings == {"a": "draining", "b": "draining", "c": "ready"}
+    states = {raw["instanceId"]: raw["lifecycle"] for raw in told[0]["updates"][0]["endpoints"]["instances"]}
+    assert states == {"a": "terminating", "b": "terminating"}, "whoever is handed the list is told the same"
+
+
+@pytest.mark.parametrize(
+    ("line", "left"),
+    [
+        ({**instance("b", 9), "hostPort": "?"}, {"a": "ready", "b": "draining"}),
+        ({**instance("b", 9, state="terminated"), "cell": []}, {"a": "ready"}),
+        ({**instance("new", 9), "lifecycle": []}, {"a": "ready"}),
+        ({"cell": 1}, {"a": "ready", "b": "draining", "c": "draining"}),
+        ("b", {"a": "ready", "b": "draining", "c": "draining"}),
+    ],
+    ids=["no address", "gone", "new", "no name", "no object"],
+)
+def test_a_whole_list_with_a_line_that_cannot_be_read_cuts_no_calls_for_it(line, left):
+    """Guards against a server held to be gone, and its calls cut, as its line in a whole list is spoilt."""
+    odd = {"reset": True, "instances": [instance("a", 9), line]}
+    directory, standings, _ = directory_of(*[odd] * TRIES)
+    assert directory.after == 5
+    assert {name: state for name, state in standings.items() if state != "gone"} == left
