--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -33,6 +33,7 @@
 FIRST_S = 2.5  # a caller's first request must have come whole by then: it is owed an answer within 3 s
 WHOLE_S = 5.0  # every further message, from its first byte; some callers' bytes come in pieces
 SWEEP_S = 0.25  # how often these two are looked at
+NOISE_S = 1.0  # bytes that make no message for so long keep no connection
 YOUNG_S = 0.25  # a connection is not put out for others before it could have asked
 DRAIN_SWEEP_S = 0.02  # how often a drain looks for idle connections
 QUIET_S = 0.02  # so long after its last bytes one is idle: the ACK to its answer has come
@@ -102,9 +103,25 @@
     last: float = 0.0  # when bytes last came
     begun: float = 0.0  # since when the rest of a message is awaited; 0: it is not
     buffer: bytearray | None = None  # that its reader waits with
+    requests: int = 0  # whole messages on it, as last looked at
+    asked_at: float = 0.0  # since when there were no more
 
     def __post_init__(self) -> None:
-        self.last = self.since
+        self.last = self.asked_at = self.since
+
+    def look(self, now: float) -> None:
+        """Note whether a whole message has come since the last look."""
+        if (requests := getattr(self.machine, "requests", 0)) != self.requests:
+            self.requests, self.asked_at = requests, now
+
+    def idles(self, old: float, now: float) -> bool:
+        """Whether nothing has come since then, or for long no more than line ends between messages.
+
+        Guards against callers who ask once and then send a line end now and then: they were never idle, and
+        filled the limit for good.
+        """
+        noise = hasattr(self.machine, "requests") and not self.begun and now - self.asked_at > NOISE_S
+        return self.last <= old or noise
 
     def unseen(self) -> bool:
         """Whether bytes have come that its machine has not been given.
@@ -244,8 +261,11 @@
         looked at: where the loop comes to a newcomer later than `young_s`, it would be taken for silent
         and put out with its set-up.
         """
-        old = self.network.loop.time() - self.bounds.young_s
-        idle_ones = [one for one in self.taken if one.last <= old and not one.machine.owes()]
+        now = self.network.loop.time()
+        old = now - self.bounds.young_s
+        for one in self.taken:
+            one.look(now)
+        idle_ones = [one for one in self.taken if one.idles(old, now) and not one.machine.owes()]
         idle_ones.sort(key=lambda one: (one.begun > 0, one.machine.asked))  # stable: the first of equals
         out = 0
         for one in idle_ones:
@@ -274,6 +294,7 @@
         now = self.network.loop.time()
         for one in list(self.taken):
             machine = one.machine
+            one.look(now)
             late_first = not machine.asked and now - one.since > self.bounds.first_s
             if one.unseen():
                 continue  # it has come in time; the loop is late
--- a/tests/test_pressed.py
+++ b/tests/test_pressed.py
@@ -221,6 +221,10 @@
             except TimeoutError:
                 return
 
+    def answer(self):
+        """Take who waits in the queue; who was not let in comes again by itself."""
+        self.fill += [self.listener.accept()[0] for _ in self.fill[:-1]]
+
     def close(self):
         for each in (*self.fill, self.listener):
             each.close()
@@ -244,6 +248,9 @@
     ident, caller = next(IDS), program.caller()
     caller.invite(ident)
     caller.expect(ident, 200)
+    stuck.answer()  # the dial that waits in the kernel comes up late
+    until(lambda: any(line["server"] == "s-1" for line in program.lines("reached")), "the late one")
+    assert not program.lines("unreached")
     stuck.close()
 
 
@@ -346,3 +353,113 @@
     directory, standings, _ = directory_of(*[odd] * TRIES)
     assert directory.after == 5
     assert {name: state for name, state in standings.items() if state != "gone"} == left
+
+
+# ---- floods ----
+
+
+def trunk_invite(ident):
+    """The bytes of the platform's set-up."""
+    headers = {"call-id": ident, "cseq": "1 INVITE", "call-kind": "read-roster", "answer-within": "9000"}
+    return sip.request("INVITE", "sip:7f3a9c21e0b4d655@net", list(headers.items()), b"d")
+
+
+@pytest.fixture
+def program(tmp_path, started):
+    """Starts a program before roster servers with the given scripts."""
+
+    def start(*scripts, sockets=1024):
+        servers = [RosterServer(script) for script in scripts]
+        lines = [instance(f"s-{n}", each.port, n % 2) for n, each in enumerate(servers)]
+        started.append(Program.on_platform(tmp_path, Coordinator(*lines), sockets=sockets).serves())
+        return started[-1]
+
+    return start
+
+
+def test_a_caller_that_sends_faster_than_it_reads_gets_each_answer_once(program):
+    """Guards against answers lost or doubled where a caller sends hundreds of set-ups at once and reads
+    later, and against others who wait for it.
+    """
+    here = program(None, None)
+    flood, idents = socket.create_connection(here.address), [next(IDS) for _ in range(300)]
+    flood.sendall(b"".join(trunk_invite(ident) for ident in idents))
+    other = here.caller()
+    other.invite(ident := next(IDS), within=9000)
+    other.expect(ident, 200)
+    parser, got = sip.StreamParser(), Counter()
+    flood.settimeout(20)
+    while sum(got.values()) < len(idents):
+        parser.feed(flood.recv(65536))
+        while (message := parser.next()) is not None:
+            got[message.get("call-id")] += message.status >= 200
+    assert got == Counter(idents), "one final answer each"
+    flood.close()
+
+
+@pytest.mark.parametrize(("sockets", "many"), [(1024, 200), (64, 60)], ids=["room for all", "no room"])
+def test_connections_that_come_in_one_turn_are_all_answered(program, sockets, many):
+    """Guards against requests whose new connection is closed without an answer: so many come while the
+    program does nothing (SIGSTOP) that it finds them all at once, also where others have to go first.
+    """
+    here = program(None, None, sockets=sockets)
+    room = Descriptors(sockets, 26, 3).for_callers()
+    assert (many > room) is (sockets == 64)
+    here.process.send_signal(signal.SIGSTOP)
+    callers = [(here.caller(), next(IDS)) for _ in range(many)]
+    for caller, ident in callers:
+        caller.raw(trunk_invite(ident))
+    assert not any(caller.got for caller, _ in callers)
+    here.process.send_signal(signal.SIGCONT)
+    for caller, ident in callers:
+        caller.expect(ident, 200)
+        assert caller.finals(ident) == [200]
+
+
+def test_line_ends_between_messages_keep_no_connection(program):
+    """Guards against a limit filled for good by callers who ask once, then send a line end now and then."""
+    here = program(None, sockets=64)
+    over, held_on, sent = threading.Event(), [], Counter()
+
+    def dribble(number):
+        with socket.create_connection(here.address) as sock:
+            try:
+                sock.sendall(PING)
+                sock.recv(4096)
+                while not over.is_set():
+                    sock.sendall(b"\r\n")
+                    sent[number] += 1
+                    over.wait(0.05)
+                held_on.append(number)
+            except OSError:
+                return
+
+    threads = [threading.Thread(target=dribble, args=(n,), daemon=True) for n in range(64)]
+    for each in threads:
+        each.start()
+    until(lambda: sum(sent.values()) > 64, "that they send")
+    newcomers = [(here.caller(), next(IDS)) for _ in range(3)]
+    for caller, ident in newcomers:
+        caller.invite(ident, within=9000)
+        caller.expect(ident, 200)
+    assert counters(here)["connections_evicted"] > 0, "there was no room"
+    over.set()
+    for each in threads:
+        each.join()
+
+
+def test_a_caller_that_comes_again_too_soon_gets_one_answer_each_time(program):
+    """Guards against a repeat that is taken for its first, lost, or answered twice: the caller is told when
+    to come back, and comes again at once under a new id.
+    """
+    here = program(RosterServer.ends(34))
+    caller, advised = here.caller(), 0
+    for _ in range(20):
+        caller.invite(ident := next(IDS), repeat_mark="1", within=9000)
+        until(lambda ident=ident: caller.finals(ident), "its answer")
+        advised += bool(caller.of(ident, 503) and caller.of(ident, 503)[0].get("come-back-ms"))
+        again = next(IDS)
+        caller.invite(again, repeat_mark="1")
+        until(lambda again=again: caller.finals(again), "its answer")
+        assert len(caller.finals(ident)) == len(caller.finals(again)) == 1
+    assert advised, "it was told when to come back"
