Hold a dial that came up while the process stood still for no failed one

The loop carries out a dial's time limit, once due, before it looks at the socket: a process held up for the time to connect (0.5 s here) took a server that had answered for unreached, and so for cold, and paced it.

A dial that is out of time is looked at once more: where the connection is up it is used.

The new story fails without the change (TimeoutError on a connection that is up) and passes with it; one whose peer never answers fails in both.

--- a/stairhatch/node/net.py
+++ b/stairhatch/node/net.py
@@ -82,6 +82,15 @@
         return b""
 
 
+def connected(sock: socket.socket) -> bool:
+    """Whether a connection that was dialled has come up."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class Pool:
     """Buffers of one size, used again."""
 
@@ -710,10 +719,19 @@
             self.loop.remove_writer(sock)
 
     async def _connect(self, address: Place, within_s: float = CONNECT_S) -> socket.socket:
+        """A connection, or OSError or TimeoutError.
+
+        Guards against a server that is held for unreached, and so for cold, since this process stood still
+        while its connection came up: the loop carries out timers that are due before it looks at a socket.
+        """
         sock = await self._socket(address)
         sock.setblocking(False)
         try:
             await asyncio.wait_for(self.loop.sock_connect(sock, address), within_s)
+        except TimeoutError:
+            if not connected(sock):
+                sock.close()
+                raise
         except BaseException:
             sock.close()
             raise
--- a/tests/test_pressed.py
+++ b/tests/test_pressed.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -14,12 +15,13 @@
 from collections import Counter
 
 import pytest
+import uvloop
 
 from stairhatch.interface import Standing
 from stairhatch.node import message as sip
 from stairhatch.node.core import TRY_S, Listing
 from stairhatch.node.directory import TRIES, Directory
-from stairhatch.node.net import Descriptors
+from stairhatch.node.net import Descriptors, Network
 from stairhatch.node.roster import RosterSide
 
 from .peers import SETTINGS, Coordinator, Inside, Program, RosterServer, instance, until
@@ -454,3 +456,29 @@
         until(lambda again=again: caller.finals(again), "its answer")
         assert len(caller.finals(ident)) == len(caller.finals(again)) == 1
     assert advised, "it was told when to come back"
+
+
+@pytest.mark.parametrize("answers", [True, False], ids=["it came up", "it did not"])
+def test_a_dial_that_came_up_while_the_process_stood_still_is_no_failed_one(answers):
+    """Guards against a link held for unreached, and its server for cold, since the loop carries out the
+    dial's time limit, due by then, before it looks at the socket. One that did not come up fails as before.
+    """
+    stuck = None if answers else Unanswered()
+    server = RosterServer() if answers else stuck
+
+    async def story():
+        inside = Inside()
+        inside.core.clock = asyncio.get_running_loop().time
+        network = Network(inside.core)
+        dial = asyncio.ensure_future(network._connect(("127.0.0.1", server.port), 0.2))
+        for _ in range(3):  # the dial begins
+            await asyncio.sleep(0)
+        time.sleep(0.5)  # the loop stands still beyond the limit
+        if answers:
+            (await dial).close()
+        else:
+            with pytest.raises(TimeoutError):
+                await dial
+
+    uvloop.run(story())
+    server.close()
