Say what to install where load, experiment or scale lack their libraries

Tried as a new user on a fresh clone: README's first command sets up the appliance alone, and `stairhatch scale FILE` ended in a traceback there (no module hdrh), as load and experiment had before.

The command line ends in one line that names requirements-load.txt, exit code 2.

--- a/stairhatch/cli.py
+++ b/stairhatch/cli.py
@@ -17,6 +17,8 @@
 from stairhatch.config import Config, ConfigError
 from stairhatch.config.appliance import read_appliance
 
+LOAD_ONLY = ("hdrh", "matplotlib")  # of requirements-load.txt
+
 
 def _serve(file: str) -> int:
     from stairhatch.start import serve
@@ -537,5 +539,13 @@
     words = sys.argv[1:]
     if len(words) == 2 and words[0] == "--sip":
         words = ["serve", words[1]]
-    main_group(args=words, prog_name="stairhatch")
+    try:
+        main_group(args=words, prog_name="stairhatch")
+    except ModuleNotFoundError as error:
+        library = (error.name or "").partition(".")[0]
+        if library not in LOAD_ONLY:
+            raise
+        why = f"{words[0]} needs what requirements-load.txt lists; {library} is not installed"
+        click.echo(f"stairhatch: {why}", err=True)
+        return 2
     return 0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -298,6 +298,17 @@
     assert done.returncode == 2 and "over udp" in done.stderr
 
 
+@pytest.mark.parametrize("words", [["load", "a.toml"], ["experiment", "a.toml"], ["scale", "a.toml"]])
+def test_a_command_without_its_libraries_says_what_to_install(tmp_path, words):
+    """Guards against a traceback for who set up the appliance alone, as README's first command does."""
+    blocked = "import sys; sys.modules['hdrh'] = None; sys.modules['hdrh.histogram'] = None; "
+    start = "sys.argv[0] = 'stairhatch'; from stairhatch.__main__ import main; sys.exit(main())"
+    command = [sys.executable, "-c", blocked + start, *words]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
+    assert f"{words[0]} needs what requirements-load.txt lists" in done.stderr
+
+
 def test_an_experiment_takes_sides_in_turn_and_keeps_every_run(tmp_path):
     """Guards against sides that meet different calls, and against void runs that vanish from the table."""
     path = tmp_path / "e.toml"
