--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -243,6 +243,7 @@
     scale = subprocess.Popen(
         [sys.executable, "-m", "stairhatch", "scale", str(path), "--out", str(tmp_path / "kept")], cwd=ROOT,
         stderr=subprocess.PIPE, text=True,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),  # a shell's background ignores it
     )  # fmt: skip
 
     def arguments(pid):
