--- a/tests/support/scripted_server.py
+++ b/tests/support/scripted_server.py
@@ -76,12 +76,15 @@
                 data += piece
                 *lines, data = data.split(b"\n")
                 for line in lines:
-                    message = json.loads(line)
-                    self.received.append((time.monotonic(), message))
-                    self.script(message, partial(self.send, connection=connection))
+                    self.message_received(json.loads(line), connection)
         except OSError:
             return
 
+    def message_received(self, message: Message, connection: socket.socket) -> None:
+        """Record a message and let the script answer it."""
+        self.received.append((time.monotonic(), message))
+        self.script(message, partial(self.send, connection=connection))
+
     def send(self, verb: str, tag: str, connection: socket.socket | None = None, **fields: Any) -> None:
         """Send a message, on the newest connection unless one is given."""
         text = json.dumps({"verb": verb, "tag": tag, "opts": {}, **fields})
