Log why calls are lost, and that the coordinator or a standby cannot be reached

Need: the incident's log had no line for an unreachable coordinator (a counter alone), for a standby that did not come up, nor for the reason why an established call was ended from this side.

Change: events call_lost (call, server, why, age) and server_standby_failed; service_discovery says once that the coordinator cannot be reached and when it answers again; server_connection_lost tells how many calls were established by the connection; a trace line call_rejected why=draining. LossReason names the evidence in place of an implied one.

--- a/stairhatch/node/call_manager.py
+++ b/stairhatch/node/call_manager.py
@@ -31,7 +31,7 @@
 from stairhatch.node.protocol import do_nothing
 from stairhatch.node.readiness import Readiness
 from stairhatch.node.server_registry import ServerRegistry
-from stairhatch.node.server_responses import ServerResponses
+from stairhatch.node.server_responses import LossReason, ServerResponses
 from stairhatch.node.timer_wheel import TimerWheel
 from stairhatch.overload.actions import Action, FailCall, LogMessage, RejectCall, SendSetup, SetTimer
 from stairhatch.overload.controller import Controller
@@ -120,7 +120,8 @@
             server = change.server
             record = server.record
             if change.lost_before:
-                self.responses.terminate_established_at(server, change.lost_before)
+                reason = LossReason.RESTARTED if change.has_restarted else LossReason.LISTED_GONE
+                self.responses.terminate_established_at(server, change.lost_before, reason)
             if change.is_listed:
                 listed.append(
                     EndpointRecord(server.id, record.number, record.availability, record.started_at)
--- a/stairhatch/node/event_log.py
+++ b/stairhatch/node/event_log.py
@@ -30,6 +30,7 @@
     "rule_violated",
     "malformed",
     "server_connect_failed",
+    "server_standby_failed",
     "service_discovery",
     "accept",
     "server_connection_lost",
--- a/stairhatch/node/io/connector.py
+++ b/stairhatch/node/io/connector.py
@@ -184,8 +184,8 @@
             address = client.address
             try:
                 sock = await self._connector.connect(address)
-            except (OSError, TimeoutError):
-                self._runner.core.counters.add("discovery_unreachable")
+            except (OSError, TimeoutError) as error:
+                client.connect_failed(error)
             else:
                 if client.address != address:  # it has moved in the meantime
                     sock.close()
--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -352,6 +352,8 @@
             return
         if core.readiness.rejects_new_calls():
             core.counters.add("calls_rejected_draining")
+            if core.context.tracing:
+                core.log("call_rejected", call=call_id, why="draining")
             advice = [("come-back-ms", str(int(RETRY_AFTER_S * 1000)))]
             self.respond(message, 503, advice if core.settings.may_send_retry_after else [])
             return
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -26,6 +26,7 @@
     render_echo_reply,
     render_release,
 )
+from stairhatch.node.server_responses import LossReason
 from stairhatch.overload.events import Availability
 
 DRAIN_TIMEOUT_S = 10.0  # one to a server that is gone is not kept longer, whatever is still pending on it
@@ -212,6 +213,8 @@
         self.server.dial_attempted = True
         if self.pool.is_standby(self) or self.pool.is_superseded(self):
             self.draining = True  # the one in use goes on; that one more is refused proves nothing
+            core.counters.add("server_standbys_failed")
+            core.log("server_standby_failed", server=self.server.record.instance, refused=refused)
             return
         if not self.failure_logged:  # once: it is tried again every second
             core.log("server_connect_failed", server=self.server.record.instance, refused=refused)
@@ -222,7 +225,9 @@
         for attempt in setups:
             core.attempts.transmission_failed(attempt, reached=False)
         if refused and not self.pool.reads_superseded(self.server):
-            core.responses.terminate_established_at(self.server, before=core.clock() + 1)
+            core.responses.terminate_established_at(
+                self.server, core.clock() + 1, LossReason.CONNECTION_REFUSED
+            )
 
     def connection_lost(self) -> None:
         """The connection broke: the set-ups pending on it are reset.
@@ -242,7 +247,13 @@
         if self.pool.is_superseded(self) and not self.can_close() and self._has_established():
             self.pool.dial_again_later(self.server)
         broken = self.send_queue.take_pending()
-        core.log("server_connection_lost", server=self.server.record.instance, open=len(broken))
+        core.log(
+            "server_connection_lost",
+            server=self.server.record.instance,
+            open=len(broken),
+            established=len(self.established_calls),
+            superseded=self.pool.is_superseded(self),
+        )
         for attempt in broken:
             core.attempts.connection_lost(attempt)
 
--- a/stairhatch/node/server_registry.py
+++ b/stairhatch/node/server_registry.py
@@ -17,6 +17,7 @@
 
     server: RosterServer
     lost_before: float = 0.0  # calls that were established there before this time are lost
+    has_restarted: bool = False  # the list names a later start; else calls are lost as it is gone
     is_listed: bool = True  # the update names it
 
 
@@ -57,7 +58,7 @@
                 lost_before = record.started_at
             elif record.availability is Availability.GONE:
                 lost_before = math.inf
-            yield ServerChange(server, lost_before)
+            yield ServerChange(server, lost_before, restarted)
         if complete:
             yield from self._remove_unnamed(named)
 
--- a/stairhatch/node/server_responses.py
+++ b/stairhatch/node/server_responses.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from stairhatch.node.attempts import AttemptManager
 from stairhatch.node.calls import Attempt, Call, CallRegistry, CallState, ReleaseCause, RosterServer
@@ -23,6 +24,15 @@
     LoadReported,
 )
 
+
+class LossReason(StrEnum):
+    """Why an established call counts as lost with its server; the values stand in the log."""
+
+    LISTED_GONE = "listed gone"
+    RESTARTED = "listed as restarted"
+    CONNECTION_REFUSED = "connection refused"
+
+
 OUTCOMES: dict[int, AttemptOutcome] = {  # of an attempt, by its rejection's cause; RESET for all others
     ReleaseCause.NO_CIRCUIT_AVAILABLE: AttemptOutcome.REJECTED,
     ReleaseCause.RECOVERY_ON_TIMER_EXPIRY: AttemptOutcome.NOT_SENT,
@@ -100,12 +110,25 @@
         if report != NO_LOAD:
             self.dispatcher.dispatch(LoadReported(server.id, report))
 
-    def terminate_established_at(self, server: RosterServer, before: float) -> None:
-        """A server's process has gone, and with it the calls that were established there before that time."""
-        for call in self.calls.established_at(server, before):
+    def terminate_established_at(self, server: RosterServer, before: float, reason: LossReason) -> list[str]:
+        """A server's process has gone, and with it the calls that were established there before that time.
+
+        Returns the ids of these calls.
+        """
+        context = self.context
+        lost = self.calls.established_at(server, before)
+        for call in lost:
             attempt = call.attempt
             assert attempt is not None
+            context.log(
+                "call_lost",
+                call=call.request.ident,
+                server=server.record.instance,
+                why=reason.value,
+                established_s=round(context.clock() - call.established_at, 2),
+            )
             self._terminate(call, attempt, ReleaseCause.TEMPORARY_FAILURE, NO_LOAD)
+        return [call.request.ident for call in lost]
 
     def _unknown_released(self, ident: str, cause: int) -> None:
         """A server releases a call that is not open here: passed on unless the call ended here lately."""
--- a/stairhatch/node/service_discovery.py
+++ b/stairhatch/node/service_discovery.py
@@ -53,6 +53,9 @@
         self._requested_at = 0.0
         self._unusable_answers = 0  # since the last one that could be applied
         self._is_behind = False  # the last answer's index was below what is known
+        self._unreachable_since: float | None = (
+            None  # when the first dial failed, none having succeeded since
+        )
         self._parser: Any = None  # of the answer under way; None: not connected
         self._body = bytearray()
         self._output = b""
@@ -91,6 +94,13 @@
         self.closing = False
         self._request()
 
+    def connect_failed(self, error: OSError) -> None:
+        """The coordinator could not be reached; logged once until it answers again."""
+        self.core.counters.add("discovery_unreachable")
+        if self._unreachable_since is None:
+            self._unreachable_since = self.core.clock()
+            self._log(f"unreachable at event {self.last_index}: {type(error).__name__}: {error}")
+
     def _request(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._body.clear()
@@ -194,10 +204,7 @@
         index_before = self.last_index
         answer = self._apply(self._decoded(), skip_lines=self._unusable_answers >= MAX_REQUESTS - 1)
         self._check_index(int(answer["index"]))
-        self.answers_received += 1
-        self.last_answer_at = self.core.clock()
-        self.core.readiness.list_known = True
-        self.core.counters.add("discovery_answers")
+        self._note_complete_answer()
         if self.on_answer is not None:
             self.on_answer(answer)
         if not keep_alive or self.is_paused():
@@ -209,6 +216,16 @@
         else:
             self._request()
 
+    def _note_complete_answer(self) -> None:
+        now = self.core.clock()
+        self.answers_received += 1
+        self.last_answer_at = now
+        self.core.readiness.list_known = True
+        self.core.counters.add("discovery_answers")
+        if self._unreachable_since is not None:
+            self._log(f"answers again after {now - self._unreachable_since:.1f} s, event {self.last_index}")
+            self._unreachable_since = None
+
     def _decoded(self) -> Any:
         status = self._parser.get_status_code()
         if status != HTTP_OK:
--- a/stairhatch/scale_test/connection_drivers.py
+++ b/stairhatch/scale_test/connection_drivers.py
@@ -228,9 +228,11 @@
         self.client.connected()
         super().connection_made(connection)
 
-    def connect_failed(self, refused: bool) -> None:  # noqa: ARG002 - the poll retries either way
+    def connect_failed(self, refused: bool) -> None:
         """Dial again after the backoff."""
-        self.owner.core.counters.add("discovery_unreachable")
+        self.client.connect_failed(
+            ConnectionRefusedError("refused") if refused else TimeoutError("timed out")
+        )
         self._reconnect()
 
     def _dial(self) -> None:
