End calls at servers that fail without a word, by a failure detector for each server

Cause: an established call ended only by its server's word, a refused connection or the endpoint list. The class: state that stands until somebody else says otherwise, with no limit to how long nobody does.

The coordinator's answers vouch for a server that speaks again; service discovery notes them.

A 6 s cut keeps its calls while the coordinator answers.

--- a/stairhatch/application.py
+++ b/stairhatch/application.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import gc
+import math
 import random
 import secrets
 import signal
@@ -205,6 +206,7 @@
             parts.discovery = ServiceDiscoveryClient(parts.core, config.coordinator, last_event)
         else:
             parts.core.readiness.list_known = True
+            parts.core.servers.list_confirmed_at = math.inf
         if config.fleet is not None:
             self._join_cluster(config.fleet)
         if parts.discovery is not None:
--- a/stairhatch/node/calls.py
+++ b/stairhatch/node/calls.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -179,10 +180,13 @@
         call = self.by_ident.get(ident)
         return call is not None and call.state is CallState.ESTABLISHED
 
-    def has_established_at(self, server: RosterServer) -> bool:
-        """Whether any call is established at a server."""
+    def has_established_at(self, server: RosterServer, before: float = math.inf) -> bool:
+        """Whether any call was established at a server before a time, and still is."""
         return any(
-            call.state is CallState.ESTABLISHED and call.attempt is not None and call.attempt.server is server
+            call.state is CallState.ESTABLISHED
+            and call.attempt is not None
+            and call.attempt.server is server
+            and call.established_at < before
             for call in self.by_number.values()
         )
 
--- a/stairhatch/node/server_pool.py
+++ b/stairhatch/node/server_pool.py
@@ -13,6 +13,7 @@
 
 from stairhatch.node.call_manager import CallManager
 from stairhatch.node.calls import Attempt, RosterServer
+from stairhatch.node.failure_monitor import FailureMonitor
 from stairhatch.node.send_queue import SIMULTANEOUS_S
 from stairhatch.node.server_connection import SUPERSEDED_S, ServerConnection
 from stairhatch.overload.events import Availability
@@ -37,6 +38,7 @@
         self.draining: set[int] = set()  # servers out of scope, looked at until their connections may end
         self.handed_over = False  # another process goes on
         core.servers.pool = self
+        self.failures = FailureMonitor(self)
         core.timers.schedule(core.clock() + LIVENESS_CHECK_S, self._check_liveness)
 
     # ---- the endpoint list ----
@@ -137,6 +139,14 @@
         """Whether a superseded connection to a server is still up."""
         return any(each.server is server and each.liveness.is_connected for each in self.superseded)
 
+    def connection_lost(self, connection: ServerConnection) -> None:
+        """A connection that was up has ended."""
+        self.failures.connection_lost(connection)
+
+    def standby_failed(self, connection: ServerConnection) -> None:
+        """A standby has not come up."""
+        self.failures.probe_failed(connection.server)
+
     def remove(self, connection: ServerConnection) -> None:
         """A connection has ended for good."""
         server = connection.server
@@ -237,6 +247,7 @@
 
     def message_received(self, connection: ServerConnection, is_load_report: bool) -> None:
         """Something came. Where a superseded connection should have brought it too, that one is dead."""
+        self.failures.message_received(connection, is_load_report)
         if not self.superseded or connection in self.superseded:
             return
         if is_load_report and connection.liveness.load_reports < 2:  # the first comes on each by itself
--- a/stairhatch/node/server_registry.py
+++ b/stairhatch/node/server_registry.py
@@ -29,6 +29,7 @@
         self.by_id: dict[int, RosterServer] = {}
         self.by_instance: dict[str, RosterServer] = {}
         self.in_scope: Callable[[int], bool] | None = None  # whether a number is connected to; None: all are
+        self.list_confirmed_at = -math.inf  # the last complete answer of the coordinator; inf: a fixed list
         self.pool: ServerPool  # the connections to them; it attaches itself
         self._ids = count(1)
 
--- a/stairhatch/node/server_responses.py
+++ b/stairhatch/node/server_responses.py
@@ -31,6 +31,8 @@
     LISTED_GONE = "listed gone"
     RESTARTED = "listed as restarted"
     CONNECTION_REFUSED = "connection refused"
+    SILENT = "nothing heard of the server"
+    REPLACED = "perhaps another process at its address"
 
 
 OUTCOMES: dict[int, AttemptOutcome] = {  # of an attempt, by its rejection's cause; RESET for all others
--- a/stairhatch/node/service_discovery.py
+++ b/stairhatch/node/service_discovery.py
@@ -85,7 +85,7 @@
             self._log(f"handed on: {error}")
             return
         self.core.readiness.list_known = True
-        self.last_answer_at = self.core.clock()
+        self.last_answer_at = self.core.servers.list_confirmed_at = self.core.clock()
 
     # ---- requests ----
 
@@ -219,7 +219,7 @@
     def _note_complete_answer(self) -> None:
         now = self.core.clock()
         self.answers_received += 1
-        self.last_answer_at = now
+        self.last_answer_at = self.core.servers.list_confirmed_at = now
         self.core.readiness.list_known = True
         self.core.counters.add("discovery_answers")
         if self._unreachable_since is not None:
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -45,8 +45,11 @@
 class ServerOnClock:
     """One roster server before a node whose clock is set by hand, with the connections that were dialled."""
 
-    def __init__(self) -> None:
+    def __init__(self, list_answers: bool = False) -> None:
+        """`list_answers`: the coordinator answers, and lists the server as it was."""
         self.node = InProcessNode()
+        self.list_answers = list_answers
+        self.started_at = self.node.now
         self.dialled: list[ServerConnection] = []
         self.aborted: list[ServerConnection] = []
         self.pool = ServerConnectionPool(self.node.core, self.dial)
@@ -65,6 +68,16 @@
         connection.connection_made()
         connection.receive_data(LOAD_LINE)
 
+    def run(self, seconds: float) -> None:
+        """Let time pass; the coordinator's answer, if there is one, is the last thing that comes."""
+        self.node.run(seconds)
+        if self.list_answers:
+            self.node.core.servers.list_confirmed_at = self.node.now
+
+    def has_call(self, ident: str) -> bool:
+        """Whether a call is established."""
+        return self.node.core.calls.is_established(ident)
+
     def establish_call(self) -> str:
         """A call that is established on the connection in use; returns its id."""
         ident = next_call_id()
@@ -85,3 +98,109 @@
     ident = server.establish_call()
     server.node.run(TOLD_WITHIN_S - 0.5)
     assert take_statuses(server.caller, ident) == ["BYE"]
+
+
+def test_a_server_that_reports_keeps_its_calls() -> None:
+    """A call may last long, and its server be heard by its load reports alone."""
+    server = ServerOnClock()
+    ident = server.establish_call()
+    for _ in range(150):
+        server.node.run(0.4)
+        server.connection.receive_data(LOAD_LINE)
+    assert server.has_call(ident)
+    assert len(server.dialled) == 1, "nothing is probed"
+
+
+def test_a_quiet_server_that_answers_on_new_connections_keeps_its_calls() -> None:
+    """A server whose load does not change reports nothing on the connections that are open."""
+    server = ServerOnClock(list_answers=True)
+    ident = server.establish_call()
+    for _ in range(300):
+        server.run(0.1)
+        if 1 in server.pool.standby:
+            server.connect(server.pool.standby[1])
+    assert server.has_call(ident)
+
+
+@pytest.mark.parametrize("list_answers", [True, False])
+def test_calls_outlive_a_cut_only_if_somebody_vouches_for_them(list_answers: bool) -> None:
+    """After a cut the old connections stay silent, and the process that answers on a new one may be another
+    at the same address. The coordinator's answers tell; without any the calls are ended in time.
+    """
+    server = ServerOnClock(list_answers)
+    ident = server.establish_call()
+    server.run(6.0)
+    server.connect(server.pool.standby[1])
+    successor = server.pool.active[1]
+    for _ in range(10):
+        server.run(0.2)
+        successor.receive_data(LOAD_LINE)
+    assert server.has_call(ident) is list_answers
+    later = server.establish_call()
+    for _ in range(50):
+        server.run(0.4)
+        successor.receive_data(LOAD_LINE)
+    assert server.has_call(later), "the process that answers has it"
+
+
+def test_calls_at_a_server_that_resets_and_is_replaced_at_its_address_are_ended_in_time() -> None:
+    """A process that dies and is replaced before the next dial refuses no connection. The coordinator, which
+    would list the restart, is away.
+    """
+    server = ServerOnClock()
+    ident = server.establish_call()
+    server.run(0.1)
+    server.connection.connection_lost()
+    server.connect(server.connection)  # as the driver does
+    for _ in range(int(TOLD_WITHIN_S / 0.4)):
+        server.run(0.4)
+        server.connection.receive_data(LOAD_LINE)
+    assert set(take_statuses(server.caller, ident)) == {"BYE"}, "again and again until it is acknowledged"
+
+
+def test_a_connection_that_breaks_costs_no_call_while_the_coordinator_answers() -> None:
+    """Servers close and reset connections that are idle; the calls there go on."""
+    server = ServerOnClock(list_answers=True)
+    ident = server.establish_call()
+    for _ in range(20):
+        server.connection.connection_lost()
+        server.connect(server.connection)  # as the driver does
+        for _ in range(5):
+            server.run(0.4)
+            server.connection.receive_data(LOAD_LINE)
+    assert server.has_call(ident)
+
+
+def test_refused_standbys_do_not_keep_calls_at_a_silent_server() -> None:
+    """That a second connection is refused proves nothing, as a server may take no more; its silence does."""
+    server = ServerOnClock()
+    ident = server.establish_call()
+    while server.node.now < server.started_at + TOLD_WITHIN_S - 0.5:
+        server.run(0.1)
+        if (standby := server.pool.standby.get(1)) is not None:
+            standby.connect_failed(refused=True)
+            server.pool.remove(standby)  # as the driver does
+    assert take_statuses(server.caller, ident) == ["BYE"]
+
+
+def test_what_came_while_the_process_stood_still_is_read_before_calls_are_ended() -> None:
+    """A process that was stopped for 20 s takes no server for lost whose reports lie unread."""
+    server = ServerOnClock()
+    ident = server.establish_call()
+    server.node.now += 20.0
+    server.node.core.timers.run_due()  # the loop carries out timers before it looks at a socket
+    server.connection.receive_data(LOAD_LINE)
+    server.run(1.0)
+    assert server.has_call(ident)
+
+
+def test_a_lost_call_is_released_at_its_server_too_once_that_is_reached() -> None:
+    """A server that was only cut off still holds the call."""
+    server = ServerOnClock()
+    ident = server.establish_call()
+    server.run(TOLD_WITHIN_S - 0.5)
+    assert server.connection in server.aborted
+    server.connection.data_to_send()  # into nothing
+    server.connection.connection_lost()
+    server.connect(server.connection)
+    assert b'"FINISH","tag":"%s"' % ident.encode() in server.connection.data_to_send()
