Keep the connections of established calls in a drain until their ends are told

Cause: 3.6 s into a drain the last caller's connection was closed. The front sends nobody to a softswitch that drains, so the ends of longer calls reached no caller: the same class as the incident, an end that is owed with no way to tell it.

Change: a platform connection notes the calls that were set up on it and is not idle while one is established, in a drain that is no shutdown. Set-ups there are rejected as before.

--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -55,6 +55,7 @@
 
     def established(self, description: bytes) -> None:
         """Answer 200 with the server's session description."""
+        self.connection.established_calls.add(self.call_id)
         self.respond(200, [], description)
 
     def rejected(self, retry_after_s: float) -> None:
@@ -68,6 +69,7 @@
     def released(self, cause: int) -> None:
         """Release the call at its caller, since its roster server has ended it."""
         self.call = None
+        self.connection.established_calls.discard(self.call_id)
         self.connection.registry.release(self.call_id, cause, self.connection)
 
 
@@ -126,6 +128,7 @@
         self.registry = registry
         self.core = registry.core
         self.pending: dict[str, PlatformCall] = {}  # set-ups without a final answer
+        self.established_calls: set[str] = set()  # that were set up on it and, as far as is known, go on
         self.requests = 0
         self.is_caller = False  # something other than a health check has come on it, or nothing for a while
         self.has_acknowledged = False  # a release was acknowledged on it
@@ -151,17 +154,24 @@
         return self._parser.has_partial_message()
 
     def is_idle(self) -> bool:
-        """Also that no release sent on it is unacknowledged, and that another is left for established calls.
+        """Also that no release sent on it is unacknowledged, and that none may have to go on it.
 
-        Were all connections closed early in a drain, later releases would find no caller.
+        A drain keeps the connections of established calls, so that their callers are told of the ends. Were
+        all connections closed early in a drain, the releases of other calls would find no caller.
         """
         deliveries = self.registry.deliveries
         return (
             super().is_idle()
             and not deliveries.awaits_acknowledgement(self, self._releases_sent)
+            and not (self.core.readiness.keeps_connections_of_calls() and self.carries_calls())
             and not (self.core.readiness.keeps_release_path() and deliveries.is_only_listener(self))
         )
 
+    def carries_calls(self) -> bool:
+        """Whether a call that was set up on it is established."""
+        self.established_calls = set(filter(self.core.calls.is_established, self.established_calls))
+        return bool(self.established_calls)
+
     def read_timed_out(self) -> None:
         """A message is not complete in time: its request is answered, if its head could be read."""
         begun = self._parser.pending_request
@@ -319,6 +329,7 @@
         held = self.registry.calls.pop(call_id, None)
         if held is not None and held.call is not None:
             held.connection.pending.pop(call_id, None)
+            held.connection.established_calls.discard(call_id)
             self.core.release(held.call, sip.release_cause(message))
         elif not self.registry.deliveries.acknowledged(call_id):
             self.core.release_unknown(call_id, sip.release_cause(message))
--- a/stairhatch/node/readiness.py
+++ b/stairhatch/node/readiness.py
@@ -148,6 +148,13 @@
             return not self.shutdown_complete
         return bool(self._calls.by_number)
 
+    def keeps_connections_of_calls(self) -> bool:
+        """Whether a drain keeps each connection whose calls go on, until their ends are told.
+
+        A process that ends does not wait for them: the next one gets their releases.
+        """
+        return self.drain_since is not None and not self.shutting_down
+
     def complete_shutdown(self) -> None:
         """All accepted calls are answered: new ones are rejected at once."""
         self.shutdown_complete = True
