End a shutdown before the SIGKILL where deadlines are short, and close busy connections

Cause: SIGKILL may come 0.7 s after the longest deadline, 1.1 s after SIGTERM where that is 0.4 s. The process stayed for 1 s whatever the deadlines were, and waited up to 2 s for a peer that reads nothing. Callers send on open connections until then, and a connection that never pauses for 20 ms was kept to the end of the process.

Change: ShutdownSchedule has all times of a shutdown, from the longest deadline, drain_s and whether another process takes over. From the moment that a drain rejects set-ups a connection is closed between two requests, not only after a pause.

--- a/stairhatch/node/io/listener.py
+++ b/stairhatch/node/io/listener.py
@@ -227,13 +227,18 @@
             protocol.read_timed_out()
 
     def close_idle(self) -> None:
-        """A drain: close what is idle, unless something has come on it that has not been read."""
+        """A drain: close what is idle, unless something has come on it that has not been read.
+
+        Once new set-ups are rejected the caller need not pause before that: one that never does would keep
+        its connection to the end of the process. A set-up that crosses the close is sent again elsewhere.
+        """
         now = self.runner.loop.time()
+        rejects = self.runner.core.readiness.rejects_new_calls()
         busiest_first = reversed(list(self.connections))  # what stays for releases is used least
         for connection in busiest_first:
             protocol = connection.protocol
             if protocol.request_received:
-                quiet = now - connection.received_at >= DRAIN_QUIET_S
+                quiet = rejects or now - connection.received_at >= DRAIN_QUIET_S
             else:
                 quiet = now - connection.accepted_at >= DRAIN_FIRST_REQUEST_S
             if protocol.closing or not quiet or not protocol.is_idle() or connection.has_unread():
--- a/stairhatch/shutdown.py
+++ b/stairhatch/shutdown.py
@@ -11,16 +11,21 @@
 import asyncio
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from stairhatch.components import Components
 from stairhatch.config.model import Config
+from stairhatch.node.readiness import REJECT_AFTER_S
 
 if TYPE_CHECKING:
     from stairhatch.sip.frontend import SipFrontend
 
 MIN_STAY_S = 1.0  # after SIGTERM connections come for 0.4 s, requests on them for 0.2 s more
-SIGKILL_MARGIN_S = 0.4  # a restart's SIGKILL comes 0.7 s after the longest deadline, or after `drain_s`
+SIGKILL_DELAY_S = 0.7  # the platform's SIGKILL comes so long after the longest deadline, or after `drain_s`
+STAY_MARGIN_S = 0.35  # before the SIGKILL: from then on the process may end
+ANSWER_MARGIN_S = 0.3  # whoever still waits is answered so long before it
+LEAVE_MARGIN_S = 0.15  # and nothing is waited for after that
 FLUSH_TIMEOUT_S = 2.0  # for a peer to read its answer, or to acknowledge a release
 FINAL_CHECK_S = 0.05  # before the end: what was handed to the sockets last is written
 HANDOVER_S = 2.0  # so long into an upgrade a caller that never pauses is sent to the new process
@@ -30,6 +35,33 @@
 PROGRESS_DIALOGS = 5  # so many of them are named
 
 
+@dataclass(frozen=True, slots=True)
+class ShutdownSchedule:
+    """When a shutdown does what, in seconds after its start.
+
+    Where deadlines are short the SIGKILL comes early: 1.1 s after SIGTERM for a deadline of 0.4 s.
+    """
+
+    stay_s: float  # so long connections are accepted and served
+    reject_after_s: float  # then set-ups on connections that never pause are rejected
+    answer_by_s: float  # calls that still wait are answered then
+    leave_by_s: float  # the process ends by then, whatever is owed
+
+    @classmethod
+    def for_platform(cls, longest_deadline_s: float, drain_s: float, replaced: bool) -> ShutdownSchedule:
+        """Return the schedule before a SIGKILL; `replaced`: another process takes over the socket."""
+        kill_s = min(longest_deadline_s, drain_s) + SIGKILL_DELAY_S
+        return cls(
+            stay_s=0.0 if replaced else min(MIN_STAY_S, kill_s - STAY_MARGIN_S),
+            reject_after_s=min(HANDOVER_S if replaced else REJECT_AFTER_S, kill_s - SIGKILL_DELAY_S),
+            answer_by_s=kill_s - ANSWER_MARGIN_S,
+            leave_by_s=kill_s - LEAVE_MARGIN_S,
+        )
+
+
+UNLIMITED = ShutdownSchedule(MIN_STAY_S, REJECT_AFTER_S, math.inf, math.inf)  # nobody kills the appliance
+
+
 class GracefulShutdown:
     """Brings one softswitch to its end. `print_text` writes to the operator's terminal."""
 
@@ -47,37 +79,41 @@
         """
         parts = self._parts
         started = parts.network.loop.time()
+        schedule = self._schedule()
         parts.log("stopping", unanswered=parts.core.calls.unanswered)
-        parts.core.readiness.shutting_down = True
+        readiness = parts.core.readiness
+        readiness.shutting_down = True
         if self._replaced:
             self._leave_newcomers()
-        parts.core.readiness.drain(True)
-        deadline = self._deadline(started)
-        if not self._replaced:
-            await asyncio.sleep(MIN_STAY_S)
-        await self._answer_callers(deadline)
+            readiness.reject_after_s = schedule.reject_after_s
+        else:
+            readiness.reject_after_s = min(readiness.reject_after_s, schedule.reject_after_s)
+        readiness.drain(True)
+        await asyncio.sleep(schedule.stay_s)
+        await self._answer_callers(started + schedule.answer_by_s, started + schedule.leave_by_s)
         if parts.sip_frontend is not None:
             await self._finish_dialogs(parts.sip_frontend, skip_dialogs)
         if self._replaced:
-            await self._close_connections(deadline)
+            await self._close_connections(started + schedule.answer_by_s)
 
     def _leave_newcomers(self) -> None:
         """Leave those who connect from now on to the next process."""
         core = self._parts.core
         core.readiness.listening = False
-        core.readiness.reject_after_s = HANDOVER_S
         for listener in self._parts.caller_listeners:
             listener.close()
 
-    def _deadline(self, started: float) -> float:
-        """Return when the calls that still wait have to be answered, in the loop's time."""
+    def _schedule(self) -> ShutdownSchedule:
         if self._parts.platform_frontend is None:
-            return math.inf
-        longest = max((each.deadline_s for each in self._parts.core.settings.classes), default=0.0)
-        return started + min(longest, self._drain_s) + SIGKILL_MARGIN_S
+            return UNLIMITED
+        longest_s = max((each.deadline_s for each in self._parts.core.settings.classes), default=0.0)
+        return ShutdownSchedule.for_platform(longest_s, self._drain_s, self._replaced)
 
-    async def _answer_callers(self, deadline: float) -> None:
-        """Wait until each call has its answer and it is written; answer what is left at the deadline."""
+    async def _answer_callers(self, deadline: float, leave_by: float) -> None:
+        """Wait until each call has its answer and it is written; answer what is left at the deadline.
+
+        A peer that does not read is waited for until `leave_by` at the longest.
+        """
         core = self._parts.core
         loop = self._parts.network.loop
         answered_at = math.inf
@@ -87,7 +123,7 @@
                 self._parts.log("drain_deadline_reached", unanswered=core.calls.unanswered)
                 core.answer_pending()
             answered_at = math.inf if core.calls.unanswered else min(answered_at, now)
-            if now > answered_at + FLUSH_TIMEOUT_S:
+            if now > min(answered_at + FLUSH_TIMEOUT_S, leave_by):
                 self._parts.log("flush_timeout", why="a peer does not read what it is owed")
                 return
             await asyncio.sleep(POLL_S)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -219,6 +219,29 @@
     assert theirs.recv(1) == b"", "it ends cleanly"
 
 
+def test_a_connection_that_never_pauses_is_closed_once_its_setups_are_rejected():
+    """A caller that sends again and again is sent away, and not reset with a request unread when the process
+    ends.
+    """
+    node = InProcessNode()
+    ours, theirs = socket.socketpair()
+    listener, (one,) = listener_with_connections(node, 4, ours)
+    node.core.readiness.drain(True)
+
+    def request_and_look():
+        headers = [("call-id", next_call_id()), ("cseq", "1 BYE")]
+        one.protocol.receive_data(sip.request("BYE", "sip:x@net", headers, b""))
+        one.received_at = node.now
+        assert b" 200 " in one.protocol.data_to_send()
+        listener.close_idle()
+        return one.protocol.closing
+
+    assert not request_and_look(), "it has only just spoken"
+    node.run(REJECT_AFTER_S + 0.1)
+    assert request_and_look()
+    assert theirs.recv(1) == b"", "it ends cleanly"
+
+
 def test_new_setups_are_rejected_only_some_time_into_a_drain():
     """Callers that come before the frontend has seen the failed health check are served."""
     node = InProcessNode()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -97,6 +97,21 @@
     assert b"come-back" not in answers[0].lower(), "these settings allow no advice"
 
 
+@pytest.mark.parametrize("longest_deadline_s", [0.4, 0.9, 1.5, 3.0, 9.0])
+@pytest.mark.parametrize("replaced", [False, True])
+def test_a_shutdown_is_over_before_the_platform_kills_the_process(longest_deadline_s, replaced):
+    """SIGKILL comes 0.7 s after the longest deadline: 1.1 s after SIGTERM where that is 0.4 s. The process
+    once stayed for 1 s whatever the deadlines were, and a call could wait until 0.3 s before the SIGKILL.
+    """
+    drain_s = 5.0 if replaced else 3.0
+    kill_s = min(longest_deadline_s, drain_s) + 0.7
+    schedule = shutdown_module.ShutdownSchedule.for_platform(longest_deadline_s, drain_s, replaced)
+    assert schedule.stay_s <= kill_s - 0.3
+    assert schedule.stay_s >= min(0.6, kill_s) or replaced, "requests come for 0.6 s after SIGTERM"
+    assert schedule.reject_after_s < schedule.answer_by_s < schedule.leave_by_s < kill_s
+    assert kill_s - schedule.answer_by_s >= 0.25, "answers have to be written, and the process to end"
+
+
 def test_a_shutdown_ends_though_nobody_reads_the_log(tmp_path):
     """The program ends, and without a fault, though the pipe that its log goes to is full."""
     server, port, admin_port = ScriptedServer(), free_port(), free_port()
