Wait longer for every second answer of a coordinator that was given up as too late

A coordinator whose answers take longer than 2.7 s was given up each time and never heard.

Measured: tests/test_service_discovery.py 15 passed; the new test fails without the change (each poll ends after 2.7 s).

--- a/stairhatch/node/service_discovery.py
+++ b/stairhatch/node/service_discovery.py
@@ -23,6 +23,8 @@
 POLL_WAIT_MS = 2000  # shorter than the coordinator allows, so that a stalled connection is found sooner
 ANSWER_MARGIN_S = 0.7  # beyond that wait; a complete answer that takes longer will not come here
 ANSWER_TIMEOUT_S = POLL_WAIT_MS / 1000 + ANSWER_MARGIN_S
+PATIENT_POLL_WAIT_MS = 3000  # after an answer that did not come in time the coordinator may be slow:
+PATIENT_ANSWER_TIMEOUT_S = 4.5  # every second poll waits longer, and less than 2 s beyond what it asks for
 FIRST_ANSWER_TIMEOUT_S = 1.5  # then a softswitch that knows some servers serves without a coordinator
 IMMEDIATE_ANSWER_S = 0.025  # an answer that comes so soon, and brings nothing new,
 EMPTY_ANSWER_PAUSE_S = 0.1  # makes the next request wait: the coordinator does not hold polls back
@@ -53,6 +55,7 @@
         self._requested_at = 0.0
         self._unusable_answers = 0  # since the last one that could be applied
         self._is_behind = False  # the last answer's index was below what is known
+        self._is_patient = False  # the last answer was given up as too late: the next is awaited longer
         self._unreachable_since: float | None = (
             None  # when the first dial failed, none having succeeded since
         )
@@ -106,14 +109,20 @@
         self._body.clear()
         self._request_number += 1
         self._requested_at = self.core.clock()
-        deadline = self._requested_at + ANSWER_TIMEOUT_S
-        self.core.timers.schedule(deadline, partial(self._answer_overdue, self._request_number))
-        wait_ms = POLL_WAIT_MS if self.core.readiness.list_known else FIRST_POLL_WAIT_MS
+        timeout_s = PATIENT_ANSWER_TIMEOUT_S if self._is_patient else ANSWER_TIMEOUT_S
+        overdue_at = self._requested_at + timeout_s
+        self.core.timers.schedule(overdue_at, partial(self._answer_overdue, self._request_number))
+        wait_ms = self._poll_wait_ms()
         path = f"/v2/stream?follow={self.last_index}&wait_ms={wait_ms}"
         host = f"{self.address[0]}:{self.address[1]}"
         self._output = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
         self.notify_writable()
 
+    def _poll_wait_ms(self) -> int:
+        if not self.core.readiness.list_known:
+            return FIRST_POLL_WAIT_MS
+        return PATIENT_POLL_WAIT_MS if self._is_patient else POLL_WAIT_MS
+
     def _is_awaiting(self, request_number: int) -> bool:
         return request_number == self._request_number and self._parser is not None
 
@@ -125,6 +134,7 @@
         """
         if self._is_awaiting(request_number):
             self.core.counters.add("discovery_stalls")
+            self._is_patient = not self._is_patient
             self._log("no whole answer in time")
             self.abort()
 
@@ -219,6 +229,7 @@
     def _note_complete_answer(self) -> None:
         now = self.core.clock()
         self.answers_received += 1
+        self._is_patient = False
         self.last_answer_at = self.core.servers.list_confirmed_at = now
         self.core.readiness.list_known = True
         self.core.counters.add("discovery_answers")
--- a/tests/test_service_discovery.py
+++ b/tests/test_service_discovery.py
@@ -57,6 +57,31 @@
     assert aborted
 
 
+def test_a_coordinator_that_answers_late_is_heard_by_every_second_poll():
+    """A slow coordinator whose answers take longer than a poll is awaited would never be heard; nor may a
+    silent one be awaited for long each time.
+    """
+    node = InProcessNode()
+    directory, aborted = ServiceDiscoveryClient(node.core, ("127.0.0.1", 1), 4), []
+    directory.abort = lambda: aborted.append(node.now)
+    waits = []
+    for _ in range(4):
+        began = node.now
+        directory.connected()
+        asked_s = int(directory.data_to_send().split(b"wait_ms=")[1].split()[0]) / 1000
+        while len(aborted) <= len(waits):
+            node.run(0.1)
+        directory.connection_lost()
+        waits.append(node.now - began)
+        assert waits[-1] < asked_s + 2.0, "its changes count as notified by then"
+    assert waits[0] < 3.0 < 4.0 < waits[1] < 5.0
+    assert waits[2] < 3.0 < 4.0 < waits[3]
+    directory.connected()
+    body = b'{"index":4,"updates":[]}'
+    directory.receive_data(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+    assert b"wait_ms=2000" in directory.data_to_send()
+
+
 def test_the_first_poll_does_not_wait_for_changes():
     """A new process is ready before a whole poll for changes is over."""
     node = InProcessNode()
