Add dense trials: real softswitches, crossing faults, every rule read off the sockets

Change: the package stairhatch/soak/ and stairhatch soak trial, schedule and batch. A seed draws deployment and faults as typed actions; emulated servers, coordinators (both extend stairhatch/emulators/) and platform callers record at their sockets; rules.py checks eleven rules, each with the page's sentence. Ways weighed: a proxy between each pair (twice the sockets, and the harness no nearer to the bytes) against a listening port for each softswitch and server, which was taken.

--- a/stairhatch/cli/main.py
+++ b/stairhatch/cli/main.py
@@ -17,6 +17,7 @@
 from stairhatch.cli.restart_slot import restart_slot
 from stairhatch.cli.scale import scale
 from stairhatch.cli.serve import serve
+from stairhatch.cli.soak import soak
 from stairhatch.cli.users import users
 
 LOAD_LIBRARIES = ("hdrh", "matplotlib")  # of requirements-load.txt alone
@@ -31,6 +32,7 @@
     claims,
     restart_slot,
     lab,
+    soak,
     users,
 )
 
--- a/stairhatch/emulators/coordinator_emulator.py
+++ b/stairhatch/emulators/coordinator_emulator.py
@@ -124,5 +124,7 @@
         if len(self.events) <= request.after:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), request.wait_s)
+        if writer.is_closing():
+            return
         writer.write(self.answer(request.after))
         await writer.drain()
--- /dev/null
+++ b/stairhatch/soak/deployment.py
@@ -0,0 +1,116 @@
+"""Draws a deployment from a seed: its classes, limits and servers, as the platform's settings have them.
+
+Nothing is fitted to one site: deadlines, effects, lengths of calls, retry pauses and limits are drawn from
+ranges that the platform's pages allow.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+SIGKILL_DELAY_S = 0.7  # after the longest deadline
+LONGEST_KILL_DEADLINE_S = 3.0  # a longer deadline counts as this
+EFFECTS = ("read_like", "idempotency_key", "non_idempotent")
+CONFIG_SEED_BITS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class DrawnClass:
+    """One class of calls."""
+
+    name: str
+    effect: str
+    deadline_s: float
+    objective_s: float
+    call_length_s: float  # mean
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """What the softswitches of one trial are configured with."""
+
+    softswitches: int
+    servers: int
+    classes: tuple[DrawnClass, ...]
+    retry_pause_s: float
+    max_attempts: int
+    drain_grace_s: float
+    connect_timeout_s: float
+    may_send_retry_after: bool
+    sockets: int
+    memory_mb: int
+    calls_per_s: float  # to each softswitch
+
+    @property
+    def kill_after_s(self) -> float:
+        """How long after SIGTERM the platform may send SIGKILL."""
+        longest_s = max(each.deadline_s for each in self.classes)
+        return min(longest_s, LONGEST_KILL_DEADLINE_S) + SIGKILL_DELAY_S
+
+    def call_class(self, name: str) -> DrawnClass:
+        """Return the class of that name."""
+        return next(each for each in self.classes if each.name == name)
+
+    def settings(self, index: int) -> dict[str, Any]:
+        """Return the settings of one softswitch, by its index."""
+        numbers = list(range(self.servers))
+        return {
+            "balancers": self.softswitches,
+            "me": index,
+            "period_s": 0.005,
+            "classes": [
+                {
+                    "name": each.name, "aim_s": each.objective_s, "hard_limit_s": each.deadline_s,
+                    "importance": 1.0, "late_worth": 0.25, "effect": each.effect, "dedup_scope": "all",
+                    "memory_span_s": 5.0, "stream": True,
+                }
+                for each in self.classes
+            ],
+            "family_info": {
+                "allowed_pools": [numbers for _ in self.classes],
+                "call_length_s": [each.call_length_s for each in self.classes],
+                "clear_wait_s": self.retry_pause_s, "retransmit_s": 0.0, "self_no": -1, "layout": "pools",
+            },
+            "load_report": {"how": "inline", "names": ["free", "size", "mean_ms", "can_take"]},
+            "permissions": {
+                "send_cap": self.max_attempts, "may_probe": False, "peers": False, "cancel": True,
+                "retry_after": self.may_send_retry_after, "max_retry_after_s": 2.0,
+                "connect_timeout_s": self.connect_timeout_s,
+            },
+            "safety": {
+                "answer_slack_s": 0.02, "drain_grace_s": self.drain_grace_s, "cold_from": 0.3,
+                "warm_after_s": 10.0, "fall_multiple": 2.5, "fall_s": 1.5,
+            },
+        }  # fmt: skip
+
+
+def draw_deployment(rng: random.Random) -> Deployment:
+    """Draw a deployment; the same state of the random source gives the same one."""
+    short = rng.random() < 0.3  # deadlines so short that SIGKILL comes soon after SIGTERM
+    classes = tuple(_draw_class(rng, index, short) for index in range(rng.randint(1, 3)))
+    return Deployment(
+        softswitches=rng.randint(3, 4),
+        servers=rng.randint(3, 6),
+        classes=classes,
+        retry_pause_s=rng.choice((0.15, 0.3, 0.5, 0.8)),
+        max_attempts=rng.randint(2, 6),
+        drain_grace_s=rng.choice((1.0, 1.5)),
+        connect_timeout_s=rng.choice((0.35, 0.5, 1.0)),
+        may_send_retry_after=rng.random() < 0.7,
+        sockets=rng.choice((256, 512, 1024)),
+        memory_mb=rng.choice((64, 96, 192)),
+        calls_per_s=rng.uniform(6.0, 25.0),
+    )
+
+
+def _draw_class(rng: random.Random, index: int, short: bool) -> DrawnClass:
+    deadline_s = round(rng.uniform(0.4, 1.0) if short else rng.uniform(1.0, 9.0), 2)
+    return DrawnClass(
+        name=f"class-{index}",
+        effect=rng.choice(EFFECTS),
+        deadline_s=deadline_s,
+        objective_s=round(deadline_s * rng.uniform(0.3, 0.9), 2),
+        call_length_s=rng.choice((0.4, 2.0, 6.0, 15.0, 60.0)),
+    )
--- /dev/null
+++ b/stairhatch/soak/injector.py
@@ -0,0 +1,271 @@
+"""Injects the faults of a trial's schedule, and counts how often each took effect."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from stairhatch.node import sip_message as sip
+from stairhatch.soak import schedule
+from stairhatch.soak.caller import Callers
+from stairhatch.soak.record import Kind, Record
+from stairhatch.soak.roster_server import LinkConnection
+from stairhatch.soak.softswitch import Softswitch
+from stairhatch.soak.world import TERMINATED, TERMINATING, Place, World
+
+BAD_CALLER_STAYS_S = 4.0
+RELOADS_WITHIN_S = 1.0
+SPOILT_LINE = b'{"verb":"LOAD","tag":"","opts":{"lo'
+
+
+class InjectedTrial(Protocol):
+    """What the injector needs of a trial."""
+
+    schedule: schedule.Schedule
+    world: World
+    callers: Callers
+    softswitches: list[Softswitch]
+    record: Record
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run a task of the trial."""
+
+
+class TrialInjector:
+    """Carries out actions, each by the method for its type."""
+
+    def __init__(self, trial: InjectedTrial) -> None:
+        """Inject into the parts of one trial."""
+        self._trial = trial
+        self._world = trial.world
+        self._rng = random.Random(f"inject {trial.schedule.seed}")
+
+    def inject(self, action: schedule.Action) -> None:
+        """Carry out an action. One that cannot take effect now is not counted."""
+        match action:
+            case schedule.ServerVanishes():
+                happened = self._vanish(action)
+            case schedule.ServerDies():
+                happened = self._die(action)
+            case schedule.ServerHangs():
+                happened = self._hang(action)
+            case schedule.LinkCut():
+                happened = self._cut(action)
+            case schedule.ConnectionsReset():
+                happened = self._reset(action)
+            case schedule.AnswersSpoilt():
+                happened = self._spoil(action)
+            case schedule.ServerDrains():
+                happened = self._drain_server(action)
+            case schedule.DiscoveryFails():
+                happened = self._fail_discovery(action)
+            case _:
+                happened = self._disturb_softswitch(action)
+        if happened:
+            self._trial.record.activations[type(action).__name__] += 1
+
+    def _disturb_softswitch(self, action: schedule.Action) -> bool:
+        match action:
+            case schedule.SoftswitchRestarts() | schedule.SoftswitchKilled():
+                return self._restart(action)
+            case schedule.SettingsChange():
+                self._trial.spawn(self._reload(action))
+            case schedule.DrainToggled():
+                return self._toggle_drain(action)
+            case schedule.CrowdOfCallers():
+                softswitch = self._trial.softswitches[action.softswitch]
+                for _ in range(action.calls):
+                    self._trial.callers.place(action.softswitch, softswitch.takes_connections)
+            case schedule.BadCallers():
+                for _ in range(action.connections):
+                    self._trial.spawn(self._bad_caller(action.softswitch))
+        return True
+
+    def _later(self, delay_s: float, step: Callable[..., object], *arguments: object) -> None:
+        asyncio.get_running_loop().call_later(delay_s, step, *arguments)
+
+    # ---- roster servers ----
+
+    def _place(self, number: int) -> Place | None:
+        """Return the place of a number if its server may fail now; it is busy from now on."""
+        place = self._world.places[number]
+        if not self._world.may_fail(place):
+            return None
+        place.is_busy = True
+        return place
+
+    def _vanish(self, action: schedule.ServerVanishes) -> bool:
+        place = self._place(action.server)
+        if place is None:
+            return False
+        instance = place.server.instance
+        place.server.vanish()
+        for port in place.ports:
+            port.leave_unanswered()
+        self._later(action.listed_after_s, self._world.publish, place, TERMINATED, instance)
+        if action.returns_after_s is not None:
+            self._later(action.returns_after_s, self._replace, place, action.same_address)
+        return True
+
+    def _replace(self, place: Place, same_address: bool) -> None:
+        self._world.replace(place, same_address)
+        self._later(0.05, self._world.publish_start, place)
+
+    def _die(self, action: schedule.ServerDies) -> bool:
+        place = self._place(action.server)
+        if place is None:
+            return False
+        for port in place.ports:
+            port.refuse()
+        place.server.die()
+        self._later(action.restarts_after_s, self._world.restart, place)
+        listed_s = max(action.listed_after_s, action.restarts_after_s + 0.05)
+        self._later(listed_s, self._world.publish_start, place)
+        return True
+
+    def _hang(self, action: schedule.ServerHangs) -> bool:
+        place = self._place(action.server)
+        if place is None:
+            return False
+        place.server.hang()
+        self._later(action.for_s, self._run_again, place)
+        return True
+
+    @staticmethod
+    def _run_again(place: Place) -> None:
+        place.server.run_again()
+        place.is_busy = False
+
+    def _cut(self, action: schedule.LinkCut) -> bool:
+        place = self._place(action.server)
+        if place is None:
+            return False
+        every = range(self._trial.schedule.deployment.softswitches)
+        indices = every if action.softswitch is None else (action.softswitch,)
+        for index in indices:
+            for link in place.server.links(index):
+                link.is_deaf = link.is_deaf or action.to_server
+                link.is_mute = link.is_mute or action.to_softswitch
+            place.ports[index].leave_unanswered()
+        self._later(action.for_s, self._heal, place, list(indices))
+        return True
+
+    @staticmethod
+    def _heal(place: Place, indices: list[int]) -> None:
+        for index in indices:
+            place.ports[index].accept()
+        place.is_busy = False
+
+    def _reset(self, action: schedule.ConnectionsReset) -> bool:
+        links: list[LinkConnection] = self._world.places[action.server].server.links()
+        working = [each for each in links if each.works()]
+        for link in working:
+            if action.mid_line:
+                link.write(SPOILT_LINE)
+            link.reset()
+        return bool(working)
+
+    def _spoil(self, action: schedule.AnswersSpoilt) -> bool:
+        server = self._world.places[action.server].server
+        server.spoils = action.kind
+        self._later(action.for_s, setattr, server, "spoils", "")
+        return server.is_alive
+
+    def _drain_server(self, action: schedule.ServerDrains) -> bool:
+        place = self._place(action.server)
+        if place is None:
+            return False
+        self._world.publish(place, TERMINATING)
+        self._later(action.ends_after_s, self._end_drained, place)
+        return True
+
+    def _end_drained(self, place: Place) -> None:
+        """A server that was drained stops, with the calls that are left, and another starts."""
+        instance = place.server.instance
+        for port in place.ports:
+            port.refuse()
+        place.server.die()
+        self._world.publish(place, TERMINATED, instance)
+        self._world.replace(place, same_address=False)
+        self._world.publish_start(place)
+
+    # ---- discovery ----
+
+    def _fail_discovery(self, action: schedule.DiscoveryFails) -> bool:
+        coordinators = self._world.coordinators
+        if any(each.failure for each in coordinators):
+            return False
+        for coordinator in coordinators:
+            coordinator.fail(action.kind)
+        self._trial.spawn(self._return_discovery(action.for_s))
+        return True
+
+    async def _return_discovery(self, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        for coordinator in self._world.coordinators:
+            await coordinator.recover()
+
+    # ---- softswitches ----
+
+    def _restart(self, action: schedule.SoftswitchRestarts | schedule.SoftswitchKilled) -> bool:
+        softswitch = self._trial.softswitches[action.softswitch]
+        if not softswitch.is_serving:
+            return False
+        softswitch.is_serving = False
+        if isinstance(action, schedule.SoftswitchKilled):
+            self._trial.spawn(softswitch.restart_after_kill(self._known(softswitch)))
+        else:
+            kill_after_s = self._trial.schedule.deployment.kill_after_s
+            self._trial.spawn(softswitch.restart(self._known(softswitch), kill_after_s))
+        return True
+
+    def _known(self, softswitch: Softswitch) -> Callable[[], dict[str, Any]]:
+        return lambda: self._world.known(softswitch.index)
+
+    async def _reload(self, action: schedule.SettingsChange) -> None:
+        softswitch = self._trial.softswitches[action.softswitch]
+        for _ in range(action.times):
+            for each in softswitch.settings["classes"]:
+                each["importance"] = round(self._rng.uniform(0.5, 3.0), 2)
+            if softswitch.is_serving:
+                softswitch.reload()
+            await asyncio.sleep(self._rng.uniform(0.0, RELOADS_WITHIN_S / action.times))
+
+    def _toggle_drain(self, action: schedule.DrainToggled) -> bool:
+        softswitch = self._trial.softswitches[action.softswitch]
+        if not softswitch.is_serving:
+            return False
+        softswitch.is_serving = False
+        self._trial.spawn(self._drain_softswitch(softswitch, action.for_s))
+        return True
+
+    async def _drain_softswitch(self, softswitch: Softswitch, for_s: float) -> None:
+        record = self._trial.record
+        process = softswitch.process_name
+        if (await softswitch.command("drain-on")).startswith("ok"):
+            record.note(Kind.DRAIN_ON, softswitch=process)
+        self._later(0.2, setattr, softswitch, "takes_connections", False)
+        await asyncio.sleep(for_s)
+        record.note(Kind.DRAIN_OFF, softswitch=process)
+        if (await softswitch.command("drain-off")).startswith("ok"):
+            softswitch.is_serving = softswitch.takes_connections = True
+
+    # ---- bad callers ----
+
+    async def _bad_caller(self, index: int) -> None:
+        """Connect, send what is no request, or nothing, and stay for a while."""
+        softswitch = self._trial.softswitches[index]
+        if not softswitch.takes_connections:
+            return
+        half = sip.request("INVITE", "sip:x@net", [("call-id", "00"), ("cseq", "1 INVITE")])[:40]
+        data = self._rng.choice((b"", b"\x00\x01\x02 noise\r\n\r\n", half, b"INVITE " + b"x" * 20_000))
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(BAD_CALLER_STAYS_S):
+                reader, writer = await asyncio.open_connection(*softswitch.address)
+                writer.write(data)
+                while await reader.read(4096):
+                    pass
+                writer.close()
--- /dev/null
+++ b/stairhatch/soak/trial.py
@@ -0,0 +1,154 @@
+"""Plays one trial: starts everything, injects the faults of its schedule, and checks the rules at the end.
+
+What it starts ends with it, whatever happens. A trial that cannot be played raises TrialError: it is never
+taken for a good one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections import Counter
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from stairhatch.load_test.event_loop_stall import EventLoopStall
+from stairhatch.soak.caller import Callers
+from stairhatch.soak.errors import TrialError
+from stairhatch.soak.injector import TrialInjector
+from stairhatch.soak.record import Record
+from stairhatch.soak.roster_server import TrialContext
+from stairhatch.soak.rules import RuleChecker, Violation
+from stairhatch.soak.schedule import SETTLE_S, Schedule
+from stairhatch.soak.softswitch import Softswitch
+from stairhatch.soak.world import World
+
+LIMIT_CHECK_S = 0.25
+STEP_S = 0.01
+
+
+@dataclass
+class TrialResult:
+    """What a trial showed."""
+
+    schedule: Schedule
+    record: Record
+    violations: list[Violation]
+    cases: Counter[str] = field(default_factory=Counter)
+
+    def idle_faults(self) -> list[str]:
+        """Return the kinds of faults that were scheduled and never took effect."""
+        scheduled = {type(each.action).__name__ for each in self.schedule.actions}
+        return sorted(scheduled - set(self.record.activations))
+
+
+class Trial:
+    """One trial; `folder` gets the configurations and logs of its processes."""
+
+    def __init__(self, schedule: Schedule, folder: Path) -> None:
+        """Prepare; nothing is started yet."""
+        self.schedule = schedule
+        self.folder = folder
+        self.record = Record()
+        self.softswitches: list[Softswitch] = []
+        self._rng = random.Random(f"play {schedule.seed}")
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._failures: list[BaseException] = []
+        deployment = schedule.deployment
+        self.world = World(TrialContext(deployment, self.record, self._rng, self._process_name))
+
+    def _process_name(self, index: int) -> str:
+        return self.softswitches[index].process_name
+
+    async def play(self) -> TrialResult:
+        """Play it to its end.
+
+        Raises TrialError where a process or a port cannot be had, or the harness itself fails.
+        """
+        stall = EventLoopStall()
+        try:
+            await self._open()
+            self.spawn(stall.watch())
+            self.spawn(self._watch_processes())
+            await self._run()
+            await asyncio.gather(*(self._end(each) for each in self.softswitches))
+        except OSError as error:
+            raise TrialError(f"seed {self.schedule.seed}: {error}") from error
+        finally:
+            self._close()
+        if self._failures:
+            raise TrialError(f"seed {self.schedule.seed}: {self._failures[0]!r}") from self._failures[0]
+        self.record.stalled_s = stall.longest_s
+        checker = RuleChecker(self.schedule.deployment, self.record)
+        violations = checker.check()
+        return TrialResult(self.schedule, self.record, violations, Counter(checker.cases))
+
+    async def _open(self) -> None:
+        deployment = self.schedule.deployment
+        await self.world.open()
+        for index in range(deployment.softswitches):
+            coordinator = self.world.coordinators[index].address
+            folder = self.folder / f"n{index}"
+            self.softswitches.append(Softswitch(index, deployment, self.record, folder, coordinator))
+        self.callers = Callers(
+            deployment, self.record, self._rng, self._process_name, lambda n: self.softswitches[n].address
+        )
+        starts = [each.start(partial(self.world.known, each.index)) for each in self.softswitches]
+        await asyncio.gather(*starts)
+
+    async def _run(self) -> None:
+        self.record.started_at = started_at = time.monotonic()
+        injector = TrialInjector(self)
+        upcoming = list(self.schedule.actions)
+        for softswitch in self.softswitches:
+            self.spawn(self._place_calls(softswitch, started_at + self.schedule.duration_s))
+        while (elapsed_s := time.monotonic() - started_at) < self.schedule.duration_s:
+            while upcoming and upcoming[0].at_s <= elapsed_s:
+                injector.inject(upcoming.pop(0).action)
+            await asyncio.sleep(STEP_S)
+        await asyncio.sleep(SETTLE_S)
+
+    async def _place_calls(self, softswitch: Softswitch, until: float) -> None:
+        """Place calls at random times; the front sends new connections only where they are taken."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self._rng.expovariate(self.schedule.deployment.calls_per_s))
+            self.callers.place(softswitch.index, may_connect=softswitch.takes_connections)
+
+    async def _watch_processes(self) -> None:
+        while True:
+            for softswitch in self.softswitches:
+                softswitch.check_limits()
+                process = softswitch.process
+                crashed = process is not None and process.poll() is not None and not softswitch.is_ending
+                if crashed and softswitch.exit_code is None:
+                    softswitch.note_end()
+            await asyncio.sleep(LIMIT_CHECK_S)
+
+    async def _end(self, softswitch: Softswitch) -> None:
+        if softswitch.process is not None and softswitch.process.poll() is None and not softswitch.is_ending:
+            await softswitch.terminate(self.schedule.deployment.kill_after_s)
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run a task; a failure of it makes the trial one that was not played."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+
+    def _task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._failures.append(error)
+
+    def _close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        with contextlib.suppress(AttributeError):
+            self.callers.close()
+        for softswitch in self.softswitches:
+            softswitch.end()
+        self.world.close()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
     ("overload", "settings", "", "simulator"), ("node",), ("admission", "fleet", "scope"),
     ("sip",), ("config",), ("components", "connection_limits", "reload", "shutdown", "terminal"),
     ("application",), ("main", "users"), ("emulators",), ("conformance", "demo", "load_test"),
-    ("fault_injection",), ("scale_test",), ("cli",), ("__main__",),
+    ("fault_injection", "soak"), ("scale_test",), ("cli",), ("__main__",),
 )  # fmt: skip
 MODULES = {
     ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
