Take a call's release by whichever id of its server's process it comes

A server that was replaced at its address is listed by two ids for a while, and its process sends a call's release on any open connection. One that came by the other id was ignored, and the call had no end.

Change: a release is taken from any record of the same address; one from another address still ends nothing.

Measured: tests/test_lost_servers.py 17 passed; the first of the two new tests fails without the change. tests/test_soak.py, test_soak_rules.py, test_call_outcomes.py, test_releases.py and test_fault_injection.py passed.

--- a/stairhatch/node/server_responses.py
+++ b/stairhatch/node/server_responses.py
@@ -97,10 +97,13 @@
     def call_released(
         self, server: RosterServer, ident: str, cause: int, note: str, report: LoadReport
     ) -> None:
-        """A roster server rejects a set-up or releases a call."""
+        """A roster server rejects a set-up or releases a call.
+
+        It may do so by the connection of another id that is listed at its address: that is one process.
+        """
         call = self.calls.by_ident.get(ident)
         attempt = call.attempt if call is not None else None
-        if call is None or attempt is None or attempt.server is not server or not attempt.written:
+        if call is None or attempt is None or not attempt.written or not _is_same(attempt.server, server):
             self.load_reported(server, report)
             if call is None:
                 self._unknown_released(ident, cause)
@@ -173,3 +176,8 @@
         call.caller_session.released(cause)
         outcome = AttemptOutcome.COMPLETED if is_normal else AttemptOutcome.RESET
         self.attempts.end(attempt, outcome, report)
+
+
+def _is_same(one: RosterServer, other: RosterServer) -> bool:
+    """Whether two records are of one process: one that was replaced at its address has two for a while."""
+    return one is other or one.record.address == other.record.address
--- a/stairhatch/soak/batch.py
+++ b/stairhatch/soak/batch.py
@@ -42,6 +42,7 @@
     activations: dict[str, int] = field(default_factory=dict)  # how often each fault took effect
     idle_faults: list[str] = field(default_factory=list)  # scheduled, and took no effect
     stalled_s: float = 0.0
+    starved_s: float = 0.0
     kept_in: str = ""
 
     def line(self) -> str:
@@ -50,9 +51,7 @@
             return f"seed {self.seed}: NOT RUN: {self.error}"
         verdict = f"BROKEN {len(self.violations)}" if self.violations else "good"
         idle = f", without effect: {' '.join(self.idle_faults)}" if self.idle_faults else ""
-        return (
-            f"seed {self.seed}: {verdict}, harness late {self.stalled_s:.3f} s{idle} {self.kept_in}".rstrip()
-        )
+        return f"seed {self.seed}: {verdict}, harness late {self.stalled_s:.3f} s, starved {self.starved_s:.2f} s{idle} {self.kept_in}".rstrip()
 
 
 @dataclass
@@ -103,6 +102,7 @@
         activations=dict(result.record.activations),
         idle_faults=result.idle_faults(),
         stalled_s=result.record.stalled_s,
+        starved_s=result.record.starved_s,
         kept_in=kept_in,
     )
 
--- a/stairhatch/soak/record.py
+++ b/stairhatch/soak/record.py
@@ -76,6 +76,7 @@
     observations: list[Observation] = field(default_factory=list)
     activations: Counter[str] = field(default_factory=Counter)
     stalled_s: float = 0.0  # the longest time for which the harness did not run
+    starved_s: float = 0.0  # for which the softswitch that waited most was ready to run, in all; no slack
 
     def note(self, kind: Kind, call: str = "", **fields: str | int) -> None:
         """Note what happens now."""
--- a/stairhatch/soak/softswitch.py
+++ b/stairhatch/soak/softswitch.py
@@ -26,6 +26,7 @@
 ADMIN_TIMEOUT_S = 1.0
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 MB = 1024 * 1024
+WAIT_FIELD = 1  # of schedstat, in nanoseconds
 STARTS = 3  # where a port was taken in the meantime
 FAULT_EVENTS = ("fault", "rule_violated")
 TRACEBACK = "Traceback"
@@ -222,10 +223,16 @@
             descriptors = len(os.listdir(folder / "fd"))
             if descriptors > self.deployment.sockets:
                 self._note_limit(f"{descriptors} descriptors of {self.deployment.sockets}")
+            self._note_processor_wait(folder)
             resident_mb = int((folder / "statm").read_text().split()[1]) * PAGE_BYTES / MB
             if resident_mb > self.deployment.memory_mb:
                 self._note_limit(f"{resident_mb:.0f} MB of {self.deployment.memory_mb}")
 
+    def _note_processor_wait(self, folder: Path) -> None:
+        """Note for how long its process was ready to run and did not, by the kernel's count."""
+        waited_ns = int((folder / "schedstat").read_text().split()[WAIT_FIELD])
+        self.record.starved_s = max(self.record.starved_s, waited_ns / 1e9)
+
     def _note_limit(self, what: str) -> None:
         self.record.note(Kind.LIMIT_EXCEEDED, softswitch=self.process_name, detail=what)
 
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -190,6 +190,30 @@
     assert set(take_statuses(server.caller, ident)) == {"BYE"}
 
 
+def test_a_release_counts_whichever_id_of_its_process_it_comes_by() -> None:
+    """A server that was replaced at its address is listed by two ids for a while, each with a connection; it
+    releases a call on any that is open.
+    """
+    server = ServerOnClock()
+    ident = server.establish_call()
+    successor = ServerRecord("t", ("127.0.0.1", 9), 0, Availability.READY)
+    server.node.core.update_servers([successor], False)
+    server.connect(server.dialled[1])
+    server.dialled[1].receive_data(b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % ident.encode())
+    assert take_statuses(server.caller, ident) == ["BYE"]
+
+
+def test_a_release_of_another_server_ends_no_call() -> None:
+    """The late end of an attempt elsewhere is not the end of the call that was established here."""
+    server = ServerOnClock()
+    ident = server.establish_call()
+    other = ServerRecord("t", ("127.0.0.1", 10), 0, Availability.READY)
+    server.node.core.update_servers([other], False)
+    server.connect(server.dialled[1])
+    server.dialled[1].receive_data(b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % ident.encode())
+    assert server.has_call(ident)
+
+
 def test_no_call_outlives_the_record_of_its_server() -> None:
     """A server is forgotten once its last connection has ended: a call that is left there would never end."""
     server = ServerOnClock()
