--- a/stairhatch/soak/batch.py
+++ b/stairhatch/soak/batch.py
@@ -51,7 +51,8 @@
             return f"seed {self.seed}: NOT RUN: {self.error}"
         verdict = f"BROKEN {len(self.violations)}" if self.violations else "good"
         idle = f", without effect: {' '.join(self.idle_faults)}" if self.idle_faults else ""
-        return f"seed {self.seed}: {verdict}, harness late {self.stalled_s:.3f} s, starved {self.starved_s:.2f} s{idle} {self.kept_in}".rstrip()
+        waits = f"harness late {self.stalled_s:.3f} s, starved {self.starved_s:.2f} s"
+        return f"seed {self.seed}: {verdict}, {waits}{idle} {self.kept_in}".rstrip()
 
 
 @dataclass
