Play late dials, a coordinator that moves and set-ups in pieces in dense trials

Change: the action DialsLate; SettingsChange may move the coordinator; a few set-ups are written in pieces, and what else goes on their connection waits. The injector chooses its method by a table.

--- a/stairhatch/soak/caller.py
+++ b/stairhatch/soak/caller.py
@@ -24,6 +24,7 @@
 LEAVES_EARLY, CANCELS, HANGS_UP, CALLS_AGAIN = 0.08, 0.5, 0.3, 0.3  # fractions
 NEW_CONNECTION = 0.25  # of the calls, though another is open
 MAX_CALLS_PER_CONNECTION = 8
+IN_PIECES, PIECE_BYTES, PIECE_PAUSE_S = 0.03, 40, 0.004
 MAX_REPEATS = 3
 SERVED, REJECTED = 200, 503
 BODY = "v=0\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
@@ -55,6 +56,8 @@
         self.calls: dict[str, PlacedCall] = {}  # unanswered or established, placed on it
         self.is_open = False
         self.closed_by_us = False
+        self.is_writing_pieces = False
+        self._waiting: list[bytes] = []  # for the end of that message
         self._parser = sip_parser.StreamParser()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -79,10 +82,23 @@
         self.callers.connection_lost(self)
 
     def write(self, data: bytes) -> None:
-        """Send bytes while the connection is open."""
+        """Send bytes while the connection is open, behind a message that goes in pieces."""
+        if self.is_writing_pieces:
+            self._waiting.append(data)
+        elif self.is_open:
+            self.transport.write(data)
+
+    def write_piece(self, data: bytes) -> None:
+        """Send a piece of a message."""
         if self.is_open:
             self.transport.write(data)
 
+    def flush(self) -> None:
+        """Send what waited for a message in pieces."""
+        waiting, self._waiting = self._waiting, []
+        for data in waiting:
+            self.write(data)
+
     def close(self) -> None:
         """Close it from this side."""
         self.closed_by_us = True
@@ -129,6 +145,7 @@
             if each.is_open
             and not each.closed_by_us
             and each.softswitch == softswitch
+            and not each.is_writing_pieces
             and len(each.calls) < MAX_CALLS_PER_CONNECTION
         ]
         if open_ones and not (may_connect and self._rng.random() < NEW_CONNECTION):
@@ -170,7 +187,28 @@
         ]  # fmt: skip
         if call.repeats:
             headers.append(("repeat-mark", "1"))
-        connection.write(sip.request("INVITE", f"sip:{call.call_id}@net", headers, BODY.encode()))
+        data = sip.request("INVITE", f"sip:{call.call_id}@net", headers, BODY.encode())
+        if self._rng.random() < IN_PIECES and not connection.is_writing_pieces:
+            connection.is_writing_pieces = True
+            self._spawn(self._send_in_pieces(connection, call, data))
+            return
+        connection.write(data)
+        self._setup_sent(connection, call)
+
+    async def _send_in_pieces(self, connection: CallerConnection, call: PlacedCall, data: bytes) -> None:
+        """Send a set-up some bytes at a time; it counts as sent with its last byte."""
+        for start in range(0, len(data), PIECE_BYTES):
+            connection.write_piece(data[start : start + PIECE_BYTES])
+            await asyncio.sleep(PIECE_PAUSE_S)
+        connection.is_writing_pieces = False
+        call.sent_at = self._loop.time()
+        if connection.is_open:
+            self._setup_sent(connection, call)
+        else:
+            self._end(call)
+        connection.flush()
+
+    def _setup_sent(self, connection: CallerConnection, call: PlacedCall) -> None:
         self._record.note(
             Kind.SETUP_SENT,
             call.call_id,
--- a/stairhatch/soak/coordinator.py
+++ b/stairhatch/soak/coordinator.py
@@ -7,9 +7,11 @@
 from typing import Any
 
 from stairhatch.emulators.coordinator_emulator import CoordinatorEmulator, parse_poll_request
+from stairhatch.emulators.ports import Address
 from stairhatch.soak.record import Kind, Record
 
 FOREVER_S = 3600.0
+OLD_CLOSES_AFTER_S = 1.5  # connections to an address that was left
 SLOW_ANSWER_S = (0.3, 2.5)
 
 
@@ -24,6 +26,7 @@
         self._record, self._rng = record, rng
         self._generation = 0  # of failures: a poll that came in one is not answered after it
         self._writers: set[asyncio.StreamWriter] = set()
+        self._retired: set[asyncio.StreamWriter] = set()  # at an address that was left
 
     async def listen_at_any_port(self) -> TrialCoordinator:
         """Begin to serve at a port of the system's choice."""
@@ -57,6 +60,20 @@
             await self.listen(*self.address)
         self._record.note(Kind.DISCOVERY_RETURNED, softswitch=self.softswitch)
 
+    async def move(self) -> Address:
+        """Serve at another address from now on; the old one tells nothing more. Returns the new one."""
+        old_server, old_writers = self._server, list(self._writers)
+        await self.listen()
+        if old_server is not None:
+            old_server.close()
+        self._retired.update(old_writers)
+        asyncio.get_running_loop().call_later(OLD_CLOSES_AFTER_S, self._end_retired, old_writers)
+        return self.address
+
+    def _end_retired(self, writers: list[asyncio.StreamWriter]) -> None:
+        for writer in writers:
+            writer.transport.abort()
+
     # ---- its list ----
 
     def publish(self, lines: list[dict[str, Any]], reset: bool = False) -> int:
@@ -74,7 +91,7 @@
 
     async def _answer_poll(self, line: bytes, writer: asyncio.StreamWriter) -> None:
         generation = self._generation
-        if self.failure == "silent":
+        if self.failure == "silent" or writer in self._retired:
             await asyncio.sleep(FOREVER_S)
         if self.failure == "slow":
             await asyncio.sleep(self._rng.uniform(*SLOW_ANSWER_S))
@@ -86,6 +103,8 @@
             writer.close()
             return
         await super()._answer_poll(line, writer)
+        if writer in self._retired:
+            return
         if self._generation != generation and self.failure in ("silent", "down"):
             return
         self._note_notified(after)
--- a/stairhatch/soak/injector.py
+++ b/stairhatch/soak/injector.py
@@ -45,26 +45,18 @@
 
     def inject(self, action: schedule.Action) -> None:
         """Carry out an action. One that cannot take effect now is not counted."""
-        match action:
-            case schedule.ServerVanishes():
-                happened = self._vanish(action)
-            case schedule.ServerDies():
-                happened = self._die(action)
-            case schedule.ServerHangs():
-                happened = self._hang(action)
-            case schedule.LinkCut():
-                happened = self._cut(action)
-            case schedule.ConnectionsReset():
-                happened = self._reset(action)
-            case schedule.AnswersSpoilt():
-                happened = self._spoil(action)
-            case schedule.ServerDrains():
-                happened = self._drain_server(action)
-            case schedule.DiscoveryFails():
-                happened = self._fail_discovery(action)
-            case _:
-                happened = self._disturb_softswitch(action)
-        if happened:
+        handlers: dict[type[schedule.Action], Callable[[Any], bool]] = {
+            schedule.ServerVanishes: self._vanish,
+            schedule.ServerDies: self._die,
+            schedule.ServerHangs: self._hang,
+            schedule.LinkCut: self._cut,
+            schedule.DialsLate: self._delay_dials,
+            schedule.ConnectionsReset: self._reset,
+            schedule.AnswersSpoilt: self._spoil,
+            schedule.ServerDrains: self._drain_server,
+            schedule.DiscoveryFails: self._fail_discovery,
+        }
+        if handlers.get(type(action), self._disturb_softswitch)(action):
             self._trial.record.activations[type(action).__name__] += 1
 
     def _disturb_softswitch(self, action: schedule.Action) -> bool:
@@ -159,6 +151,15 @@
             place.ports[index].accept()
         place.is_busy = False
 
+    def _delay_dials(self, action: schedule.DialsLate) -> bool:
+        place = self._place(action.server)
+        if place is None:
+            return False
+        for port in place.ports:
+            port.leave_unanswered()
+        self._later(action.for_s, self._heal, place, list(range(len(place.ports))))
+        return True
+
     def _reset(self, action: schedule.ConnectionsReset) -> bool:
         links: list[LinkConnection] = self._world.places[action.server].server.links()
         working = [each for each in links if each.works()]
@@ -233,6 +234,10 @@
             if softswitch.is_serving:
                 softswitch.reload()
             await asyncio.sleep(self._rng.uniform(0.0, RELOADS_WITHIN_S / action.times))
+        coordinator = self._world.coordinators[action.softswitch]
+        if action.moves_coordinator and softswitch.is_serving and not coordinator.failure:
+            softswitch.coordinator = await coordinator.move()
+            softswitch.reload()
 
     def _toggle_drain(self, action: schedule.DrainToggled) -> bool:
         softswitch = self._trial.softswitches[action.softswitch]
--- a/stairhatch/soak/schedule.py
+++ b/stairhatch/soak/schedule.py
@@ -68,6 +68,14 @@
     to_softswitch: bool
 
 
+@dataclass(frozen=True, slots=True)
+class DialsLate(Action):
+    """New connections to a server come up late, or not at all; those that are open go on."""
+
+    server: int
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionsReset(Action):
     """Open connections to a server are reset, perhaps in the middle of a line; its calls stand."""
@@ -127,6 +135,7 @@
 
     softswitch: int
     times: int
+    moves_coordinator: bool  # the last of them names another address of the coordinator
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,7 +251,11 @@
 
 
 def _draw_settings(rng: random.Random, deployment: Deployment) -> Action:
-    return SettingsChange(_softswitch(rng, deployment), rng.randint(1, 5))
+    return SettingsChange(_softswitch(rng, deployment), rng.randint(1, 5), rng.random() < 0.5)
+
+
+def _draw_late_dials(rng: random.Random, deployment: Deployment) -> Action:
+    return DialsLate(_server(rng, deployment), round(rng.choice((rng.uniform(0.2, 1.0), 4.0)), 2))
 
 
 def _draw_toggle(rng: random.Random, deployment: Deployment) -> Action:
@@ -263,6 +276,7 @@
     (_draw_hang, 4),
     (_draw_cut, 4),
     (_draw_reset, 3),
+    (_draw_late_dials, 2),
     (_draw_spoilt, 3),
     (_draw_drain, 3),
     (_draw_discovery, 5),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,7 +31,7 @@
     """What is never drawn is never tried."""
     schedules = [draw_schedule(seed) for seed in range(60)]
     kinds = {type(each.action).__name__ for schedule in schedules for each in schedule.actions}
-    assert len(kinds) == 14
+    assert len(kinds) == 15
     assert {each.deployment.kill_after_s - 0.6 < 1.1 for each in schedules} == {True, False}
     effects = {each.effect for schedule in schedules for each in schedule.deployment.classes}
     assert len(effects) == 3
