Keep a refusing port of a dense trial from being taken by somebody else

Change: a port is reserved by a second, bound socket from its first to its last moment.

Measured: tests/test_soak.py passed, with a check that the port cannot be bound while it refuses, which fails without the change.

--- a/stairhatch/soak/port.py
+++ b/stairhatch/soak/port.py
@@ -22,18 +22,24 @@
     def __init__(self, on_accept: Callable[[socket.socket], None]) -> None:
         """Bind a port of the system's choice; `on_accept` is given each connection."""
         self.on_accept = on_accept
-        self.sock = self._listen(0)
-        self.number: int = self.sock.getsockname()[1]
+        self._reservation = self._bind(0)  # so that nobody else gets the port while it refuses
+        self.number: int = self._reservation.getsockname()[1]
+        self.sock = self._listen(self.number)
         self._fillers: list[socket.socket] = []
         self._is_accepting = False
         self._is_open = True
         self._loop = asyncio.get_running_loop()
 
     @staticmethod
-    def _listen(number: int) -> socket.socket:
+    def _bind(number: int) -> socket.socket:
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((HOST, number))
+        return sock
+
+    @classmethod
+    def _listen(cls, number: int) -> socket.socket:
+        sock = cls._bind(number)
         sock.listen(BACKLOG)
         sock.setblocking(False)
         return sock
@@ -75,6 +81,7 @@
     def close(self) -> None:
         """Give the port up."""
         self.refuse()
+        self._reservation.close()
 
     def _empty_queue(self) -> None:
         if not self._fillers:
--- a/stairhatch/soak/world.py
+++ b/stairhatch/soak/world.py
@@ -38,6 +38,7 @@
     context: TrialContext
     coordinators: list[TrialCoordinator] = field(default_factory=list)
     places: list[Place] = field(default_factory=list)
+    left_ports: list[Port] = field(default_factory=list)  # nobody listens there any more
     listed: list[dict[str, dict[str, Any]]] = field(default_factory=list)  # lines, by softswitch and id
 
     async def open(self) -> None:
@@ -60,8 +61,8 @@
         for place in self.places:
             place.server.is_alive = False
             place.server.abort_connections()
-            for port in place.ports:
-                port.close()
+        for port in [*self.left_ports, *(each for place in self.places for each in place.ports)]:
+            port.close()
 
     # ---- servers ----
 
@@ -91,6 +92,7 @@
             self._occupy(place, instance)
             return
         old_ports = place.ports
+        self.left_ports += old_ports
         place.server = self._new_server(instance, place.number)
         place.server.start_cold()
         place.ports = self._new_ports(place.server)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,6 +70,8 @@
         found.append(await connects(port, 5.0))
         port.refuse()
         found.append(await connects(port, 5.0))
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(("127.0.0.1", port.number))  # nobody else gets it meanwhile
         port.accept()
         found.append(await connects(port, 5.0))
         port.close()
