Tell a wrong inherited socket once, and a conform choice that fits nothing; widen dense trials

Dense trials closed no connection of a server cleanly, had no calls with very little time and few idle connections.

Change: the two messages, each with a test. ConnectionsReset closes, resets, or resets in a line; a caller's time may be a twentieth of the deadline; bad callers come up to the limit of descriptors and over.

--- a/stairhatch/application.py
+++ b/stairhatch/application.py
@@ -56,10 +56,11 @@
     """
     try:
         sock = socket.socket(fileno=descriptor)
-        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-            raise ConfigError(f"RELAY_INHERITED_FD: descriptor {descriptor} does not listen")
+        listens = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
     except (OSError, ValueError, OverflowError) as error:
         raise ConfigError(f"RELAY_INHERITED_FD: descriptor {descriptor}: {error}") from error
+    if not listens:
+        raise ConfigError(f"RELAY_INHERITED_FD: descriptor {descriptor} does not listen")
     return sock
 
 
--- a/stairhatch/cli/conform.py
+++ b/stairhatch/cli/conform.py
@@ -34,6 +34,8 @@
 
     with failing_with(EXIT_UNUSABLE, CaseError, ValueError):
         cases = [each for each in read_cases() if each.name.startswith(only) or each.section.startswith(only)]
+        if not cases:
+            raise CaseError(f"--only {only}: no case's name or section begins so")
         if faults:
             _show_mutations(cases)
         if udp or tcp:
--- a/stairhatch/soak/caller.py
+++ b/stairhatch/soak/caller.py
@@ -155,7 +155,7 @@
 
     def _new_call(self, softswitch: int, repeats: int = 0) -> PlacedCall:
         call_class = self._rng.choice(self._deployment.classes)
-        wait_s = round(call_class.deadline_s * self._rng.choice((1.0, 0.7, 0.3)), 3)
+        wait_s = round(call_class.deadline_s * self._rng.choice((1.0, 0.7, 0.3, 0.05)), 3)
         call_id = f"{self._rng.getrandbits(64):016x}"
         return PlacedCall(call_id, softswitch, call_class, wait_s, 0.0, repeats)
 
--- a/stairhatch/soak/injector.py
+++ b/stairhatch/soak/injector.py
@@ -164,9 +164,12 @@
         links: list[LinkConnection] = self._world.places[action.server].server.links()
         working = [each for each in links if each.works()]
         for link in working:
-            if action.mid_line:
+            if action.how == "reset in a line":
                 link.write(SPOILT_LINE)
-            link.reset()
+            if action.how == "close":
+                link.transport.close()
+            else:
+                link.reset()
         return bool(working)
 
     def _spoil(self, action: schedule.AnswersSpoilt) -> bool:
--- a/stairhatch/soak/schedule.py
+++ b/stairhatch/soak/schedule.py
@@ -78,10 +78,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionsReset(Action):
-    """Open connections to a server are reset, perhaps in the middle of a line; its calls stand."""
+    """Open connections to a server are closed, or reset, perhaps in the middle of a line; its calls stand."""
 
     server: int
-    mid_line: bool
+    how: str  # one of RESET_KINDS
+
+
+RESET_KINDS = ("close", "reset", "reset in a line")
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,7 +238,7 @@
 
 
 def _draw_reset(rng: random.Random, deployment: Deployment) -> Action:
-    return ConnectionsReset(_server(rng, deployment), rng.random() < 0.5)
+    return ConnectionsReset(_server(rng, deployment), rng.choice(RESET_KINDS))
 
 
 def _draw_spoilt(rng: random.Random, deployment: Deployment) -> Action:
@@ -267,7 +270,8 @@
 
 
 def _draw_bad_callers(rng: random.Random, deployment: Deployment) -> Action:
-    return BadCallers(_softswitch(rng, deployment), rng.randint(3, deployment.sockets // 4))
+    most = rng.choice((20, deployment.sockets // 2, deployment.sockets + 20))  # also more than it may hold
+    return BadCallers(_softswitch(rng, deployment), rng.randint(3, most))
 
 
 DRAWS: tuple[tuple[Draw, int], ...] = (  # with their weights
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -98,3 +98,11 @@
     remote = run_command("--udp", "192.0.2.1:5060")
     assert remote.returncode == 2
     assert "loopback" in remote.stderr
+
+
+def test_a_choice_that_no_case_fits_is_told_and_ends_with_code_2():
+    """It ended in a traceback."""
+    command = [*COMMAND, "conform", "--only", "no such case"]
+    ended = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
+    assert ended.returncode == 2
+    assert ended.stderr.startswith("stairhatch: --only no such case")
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import time
 
 import pytest
@@ -115,6 +116,20 @@
     assert complaint in program.log_text()
 
 
+def test_an_inherited_socket_that_does_not_listen_is_named_once(tmp_path):
+    """The line named variable and descriptor twice, as the error was wrapped in one of its own kind."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(platform_config(ScriptedCoordinator(), 1, 2)))
+    with socket.socket() as sock:
+        given = str(sock.fileno())
+        program = Program(
+            tmp_path, inherited=(sock.fileno(),), RELAY_CONFIG=str(path), RELAY_INHERITED_FD=given
+        )
+        assert program.process.wait(20) == 2
+    line = program.log_text()
+    assert line.strip() == f"stairhatch: RELAY_INHERITED_FD: descriptor {given} does not listen"
+
+
 @pytest.mark.parametrize(
     ("change", "complaint"),
     [
