Let the heartbeat of the member that polls vouch for the list of the others

Cause: found by reading the failure detector's neighbours. In a fleet with a relayed list only one member hears the coordinator; for the others nothing vouched for a server after a broken connection, and its calls would have been ended after 7.25 s.

Change: the holder's word that nothing is new confirms the list. Measured: the two cases of the new test; without the change the first fails.

--- a/stairhatch/fleet/endpoint_list_runtime.py
+++ b/stairhatch/fleet/endpoint_list_runtime.py
@@ -158,6 +158,8 @@
         if not update.data:
             if update.index > self.endpoint_list.index:  # what was handed on has been lost
                 self._driver.send(peer, Subscribe(self.endpoint_list.index))
+            else:
+                self.directory.confirm_relayed()
             return
         if not update.part_index:  # the token was accepted, whatever comes of the list
             self._driver.history.write(
--- a/stairhatch/node/service_discovery.py
+++ b/stairhatch/node/service_discovery.py
@@ -90,6 +90,10 @@
         self.core.readiness.list_known = True
         self.last_answer_at = self.core.servers.list_confirmed_at = self.core.clock()
 
+    def confirm_relayed(self) -> None:
+        """Another softswitch, which polls, has nothing new: the list holds."""
+        self.core.servers.list_confirmed_at = self.core.clock()
+
     # ---- requests ----
 
     def connected(self) -> None:
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 
+from stairhatch.fleet.endpoint_list_runtime import EndpointListRelay
+from stairhatch.fleet.messages import EndpointUpdate
 from stairhatch.node.calls import ServerRecord
 from stairhatch.node.platform_frontend import PlatformFrontend
 from stairhatch.node.server_connection import ServerConnection
 from stairhatch.node.server_pool import ServerConnectionPool
+from stairhatch.node.service_discovery import ServiceDiscoveryClient
 from stairhatch.overload.events import Availability
 
 from .support.accepted_connections import take_statuses
@@ -271,3 +276,27 @@
     server.connection.connection_lost()
     server.connect(server.connection)
     assert b'"FINISH","tag":"%s"' % ident.encode() in server.connection.data_to_send()
+
+
+@pytest.mark.parametrize(("index", "vouches"), [(4, True), (5, False)])
+def test_the_member_that_polls_for_a_fleet_vouches_for_the_list_of_the_others(
+    index: int, vouches: bool
+) -> None:
+    """Members that do not poll hear no answer of the coordinator: the heartbeat of the one that does stands
+    for them, unless it has something that they lack.
+    """
+    node = InProcessNode()
+    check = SimpleNamespace(is_accepted=True, effects=[])
+    member = SimpleNamespace(fencing_tokens=SimpleNamespace(check=lambda *_: check))
+    driver = SimpleNamespace(
+        config=SimpleNamespace(voters={"a": ("a", 1)}),
+        member=member,
+        carry_out=lambda _effects: None,
+        send=lambda *_: None,
+    )
+    relay = EndpointListRelay(driver, lambda: node.now, lambda: None)
+    relay.directory = ServiceDiscoveryClient(node.core, ("127.0.0.1", 1), 4)
+    relay.endpoint_list.index = 4
+    node.run(5.0)
+    relay.handle_update(node.now, ("a", 1), EndpointUpdate("a", 7, index, 0, 1, b""))
+    assert (node.core.servers.list_confirmed_at == node.now) is vouches
