Move the look for unresponsive connections out of the server pool

Change: a pure move: _check_liveness, _may_suspect and _suspect with their constants are LivenessChecker's, in a module of its own.

--- a/stairhatch/node/server_pool.py
+++ b/stairhatch/node/server_pool.py
@@ -15,17 +15,16 @@
 from stairhatch.node.call_manager import CallManager
 from stairhatch.node.calls import Attempt, RosterServer
 from stairhatch.node.failure_monitor import FailureMonitor
+from stairhatch.node.liveness_checker import MAX_SUPERSEDED, LivenessChecker
 from stairhatch.node.send_queue import SIMULTANEOUS_S
 from stairhatch.node.server_connection import SUPERSEDED_S, ServerConnection
 from stairhatch.node.server_responses import LossReason
 from stairhatch.overload.events import Availability
 
 START_MARGIN_S = 1.0  # a connection so much older than a server's start is to the process before
-LIVENESS_CHECK_S = 0.1  # between two looks for unresponsive connections
 CLOSE_CHECK_S = 1.0  # between two looks whether a superseded connection, or a server's, may end
 CLOSE_CHECK_MARGIN_S = 0.01  # the first of them is so much later than the time it is read at least
 REDIAL_DELAY_S = 0.1  # after a dead connection has been ended
-MAX_SUPERSEDED = 3  # beside the one in use: a server reports its load on four
 
 
 class ServerConnectionPool:
@@ -41,7 +40,7 @@
         self.handed_over = False  # another process goes on
         core.servers.pool = self
         self.failures = FailureMonitor(self)
-        core.timers.schedule(core.clock() + LIVENESS_CHECK_S, self._check_liveness)
+        self.liveness_checker = LivenessChecker(self)
 
     # ---- the endpoint list ----
 
@@ -169,47 +168,7 @@
             self.core.responses.terminate_established_at(server, math.inf, LossReason.LISTED_GONE)
             self.core.servers.forget(server)
 
-    # ---- unresponsive connections, and their standbys ----
-
-    def _check_liveness(self) -> None:
-        """Dial a standby where a connection is unresponsive though something is due on it.
-
-        A connection may be cut off without a word and stay open: all set-ups would go there and none come
-        back. Nothing is given up for the suspicion alone, since a server may merely be slow.
-        """
-        now = self.core.clock()
-        self.core.timers.schedule(now + LIVENESS_CHECK_S, self._check_liveness)
-        unresponsive: list[ServerConnection] = []
-        for server_id, connection in self.active.items():
-            if server_id in self.standby or connection.draining or not connection.is_unresponsive(now):
-                continue
-            if self._may_suspect(connection, now):
-                self._suspect(connection, now)
-                unresponsive.append(connection)
-        for connection in unresponsive:
-            self.dial_standby(connection)
-
-    def _may_suspect(self, connection: ServerConnection, now: float) -> bool:
-        """Whether a standby may be dialled by now.
-
-        On each new connection a load report comes first: where nothing came at all the server is not merely
-        slow, and no backoff is kept.
-        """
-        liveness = connection.liveness
-        beside = sum(
-            each.server is connection.server and each.superseded_at > now - SUPERSEDED_S
-            for each in self.superseded
-        )
-        never_received = liveness.last_received_at < liveness.connected_at
-        return now >= liveness.suspect_from or (never_received and beside < MAX_SUPERSEDED)
-
-    def _suspect(self, connection: ServerConnection, now: float) -> None:
-        liveness = connection.liveness
-        liveness.back_off(now)
-        self.core.counters.add("server_connections_unresponsive")
-        silent_s = round(now - liveness.last_activity_at, 2)
-        instance = connection.server.record.instance
-        self.core.log("server_connection_unresponsive", server=instance, silent_s=silent_s)
+    # ---- standbys ----
 
     def dial_standby(self, connection: ServerConnection) -> None:
         """Dial once more to the server of the connection in use."""
