--- a/stairhatch/soak/roster_server.py
+++ b/stairhatch/soak/roster_server.py
@@ -9,11 +9,9 @@
 import asyncio
 import contextlib
 import json
-import math
 import random
 import socket
 import struct
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -22,15 +20,15 @@
 from stairhatch.emulators.processor import ProcessorLoad
 from stairhatch.emulators.server_emulator import Message, ServerEmulator, ServerEmulatorConnection
 from stairhatch.node.calls import ReleaseCause
+from stairhatch.soak.capacity_meter import CapacityMeter
 from stairhatch.soak.deployment import Deployment
 from stairhatch.soak.record import Kind, Record
+from stairhatch.soak.spoilt_answers import spoil
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing resets the connection
 LOAD_REPORT_INTERVAL_S = 0.4
 RESENT_RELEASES_S = 30.0  # ends of calls are sent again on the next connection for so long
 NEVER_ANSWERED, REJECTED, FAILED, SLOW = 0.02, 0.05, 0.02, 0.08  # fractions of the set-ups
-PIECE_BYTES = 7
-FULL_AT = 1.5  # a multiple of its capacity: set-ups beyond it are rejected
 
 
 @dataclass(slots=True)
@@ -97,11 +95,6 @@
         self.abort()
 
 
-def encode_line(message: Message) -> bytes:
-    """Return a message as it is written."""
-    return json.dumps(message).encode() + b"\n"
-
-
 @dataclass(frozen=True, slots=True)
 class TrialContext:
     """What the servers of one trial share."""
@@ -123,8 +116,7 @@
         self.is_hung = False
         self.is_alive = True
         self.spoils = ""  # how answers are spoilt just now
-        self.started_at = -math.inf  # by the loop's clock, where it started in the trial
-        self._setups: deque[float] = deque()  # when those of the last second came
+        self.capacity = CapacityMeter(context.deployment)
         self.held: dict[str, HeldCall] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._deployment, self._record, self._rng = context.deployment, context.record, context.rng
@@ -164,23 +156,12 @@
 
     def start_cold(self) -> None:
         """Its process has started just now: it takes less at first."""
-        self.started_at = self.timers.time()
+        self.capacity.started_at = self.timers.time()
         self._record.note(Kind.STARTED_COLD, server=self.instance)
 
-    def _present_capacity_per_s(self) -> float:
-        return self._deployment.present_capacity_per_s(self.timers.time() - self.started_at)
-
     def processor_load(self) -> ProcessorLoad:
         """Return what it reports: what it can take now, and a wait that grows with its use."""
-        capacity_per_s = self._present_capacity_per_s()
-        use = min(0.95, self._recent_setups() / capacity_per_s)
-        return ProcessorLoad(queue_delay_s=0.01 * use / (1 - use), calls_per_s=capacity_per_s)
-
-    def _recent_setups(self) -> int:
-        since = self.timers.time() - 1.0
-        while self._setups and self._setups[0] < since:
-            self._setups.popleft()
-        return len(self._setups)
+        return self.capacity.load(self.timers.time())
 
     # ---- what comes ----
 
@@ -220,8 +201,7 @@
         """Choose what becomes of a set-up."""
         if self.held.get(call.tag) is not call or call.is_given_up:
             return
-        self._setups.append(self.timers.time())
-        if self._recent_setups() > FULL_AT * self._present_capacity_per_s() + 2:
+        if not self.capacity.admit(self.timers.time()):
             self._refuse(call, ReleaseCause.NO_CIRCUIT_AVAILABLE)
             return
         chance = self._rng.random()
@@ -261,7 +241,8 @@
         self.timers.call_later(length_s, self._end_call, call)
         answer = {"verb": "STARTED", "tag": call.tag, "opts": {}, "blob": description}
         if self.spoils and self._rng.random() < 0.5:
-            self._send_spoilt(call.connection, answer)
+            self._record.activations["spoilt answer"] += 1
+            spoil(self.spoils, call.connection, answer, self._later)
         else:
             call.connection.send(answer)
 
@@ -294,28 +275,6 @@
             if call.softswitch == link.softswitch:
                 self.when_running(partial(self._release_on, link, call))
 
-    def _send_spoilt(self, link: LinkConnection, answer: Message) -> None:
-        line = encode_line(answer)
-        self._record.activations["spoilt answer"] += 1
-        match self.spoils:
-            case "noise":
-                link.write(b"\x00\xfe noise " + line)
-            case "twice":
-                link.write(line)
-                self._later(self._rng.uniform(0.0, 0.05), link.write, line)
-            case "late":
-                self._later(self._rng.uniform(0.2, 0.6), link.write, line)
-            case "pieces":
-                for start in range(0, len(line), PIECE_BYTES):
-                    piece = line[start : start + PIECE_BYTES]
-                    self._later(0.002 * start / PIECE_BYTES, link.write, piece)
-            case "cut off":
-                link.write(line[: len(line) // 2])
-                self._later(0.001, link.reset)
-            case _:
-                link.write(encode_line({**answer, "tag": f"{self._rng.getrandbits(64):016x}"}))
-                link.write(line)
-
     # ---- its failures ----
 
     def vanish(self) -> None:
