--- a/stairhatch/soak/record.py
+++ b/stairhatch/soak/record.py
@@ -80,7 +80,8 @@
 
     def note(self, kind: Kind, call: str = "", **fields: str | int) -> None:
         """Note what happens now."""
-        self.observations.append(Observation(time.monotonic(), kind, call, **fields))  # type: ignore[arg-type]
+        seen = Observation(time.monotonic(), kind, call, **fields)  # type: ignore[arg-type]
+        self.observations.append(seen)
 
     def of_call(self, call: str) -> list[Observation]:
         """Return what was observed of one call."""
