Judge the end of the call that was answered, and reserve the softswitches' ports in dense trials

Change: the end that counts comes after the establishment that was answered; ports are reserved by a bound socket until the trial's end.

--- a/stairhatch/soak/port.py
+++ b/stairhatch/soak/port.py
@@ -16,13 +16,24 @@
 FILLERS = 3  # connects that fill a listener's queue of length 0, and one that proves it
 
 
+def reserve_port(number: int = 0) -> socket.socket:
+    """Return a socket that is bound to a port and does not listen; without a number the system chooses.
+
+    While it is open nobody else gets the port, but for those who set SO_REUSEADDR and name it.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((HOST, number))
+    return sock
+
+
 class Port:
     """A port that accepts, refuses, or leaves connects unanswered."""
 
     def __init__(self, on_accept: Callable[[socket.socket], None]) -> None:
         """Bind a port of the system's choice; `on_accept` is given each connection."""
         self.on_accept = on_accept
-        self._reservation = self._bind(0)  # so that nobody else gets the port while it refuses
+        self._reservation = reserve_port()  # so that nobody else gets the port while it refuses
         self.number: int = self._reservation.getsockname()[1]
         self.sock = self._listen(self.number)
         self._fillers: list[socket.socket] = []
@@ -31,15 +42,8 @@
         self._loop = asyncio.get_running_loop()
 
     @staticmethod
-    def _bind(number: int) -> socket.socket:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((HOST, number))
-        return sock
-
-    @classmethod
-    def _listen(cls, number: int) -> socket.socket:
-        sock = cls._bind(number)
+    def _listen(number: int) -> socket.socket:
+        sock = reserve_port(number)
         sock.listen(BACKLOG)
         sock.setblocking(False)
         return sock
--- a/stairhatch/soak/rules.py
+++ b/stairhatch/soak/rules.py
@@ -172,12 +172,16 @@
         answer = next((e for e in story if e.kind is Kind.FINAL_ANSWER and e.status == SERVED), None)
         if answer is None:
             return
-        servers = {e.server for e in story if e.kind is Kind.ESTABLISHED and e.detail == answer.detail}
-        over = next((e for e in story if e.kind is Kind.CALL_OVER and e.server in servers), None)
+        made = [e for e in story if e.kind is Kind.ESTABLISHED and e.detail == answer.detail]
+        made = [e for e in made if e.at <= answer.at]
+        if not made:
+            return
+        since_made = [e for e in story if e.server == made[-1].server and e.at >= made[-1].at]
+        over = _first(since_made, Kind.CALL_OVER)  # of this one: an earlier attempt may have ended there too
         if over is None:
             return
         self.cases[Rule.TOLD] += 1
-        sent = next((e for e in story if e.kind is Kind.RELEASE_SENT and e.server in servers), None)
+        sent = _first(since_made, Kind.RELEASE_SENT)
         since = max(over.at, answer.at)
         limit = since + TOLD_AFTER_END_S
         if sent is not None:
--- a/stairhatch/soak/softswitch.py
+++ b/stairhatch/soak/softswitch.py
@@ -15,9 +15,10 @@
 from pathlib import Path
 from typing import Any
 
-from stairhatch.emulators.ports import Address, free_port
+from stairhatch.emulators.ports import Address
 from stairhatch.soak.deployment import Deployment
 from stairhatch.soak.errors import TrialError
+from stairhatch.soak.port import reserve_port
 from stairhatch.soak.record import Kind, Record
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -27,7 +28,6 @@
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 MB = 1024 * 1024
 WAIT_FIELD = 1  # of schedstat, in nanoseconds
-STARTS = 3  # where a port was taken in the meantime
 FAULT_EVENTS = ("fault", "rule_violated")
 TRACEBACK = "Traceback"
 PR_SET_PDEATHSIG = 1  # of prctl(2)
@@ -53,8 +53,9 @@
         self.coordinator = coordinator
         self.known: dict[str, Any] = {}
         self.settings = deployment.settings(index)
-        self.address: Address = ("127.0.0.1", free_port())
-        self.admin: Address = ("127.0.0.1", free_port())
+        self._reserved = [reserve_port() for _ in range(2)]  # so that nobody else gets them between starts
+        self.address: Address = self._reserved[0].getsockname()
+        self.admin: Address = self._reserved[1].getsockname()
         self.starts = 0
         self.process: subprocess.Popen[bytes] | None = None
         self.is_serving = False  # the front sends new connections here
@@ -78,18 +79,14 @@
     async def start(self, known: Callable[[], dict[str, Any]]) -> None:
         """Start a process, which knows the events of the list by then, and wait until it serves.
 
-        Raises TrialError where it ends before, or its port cannot be had.
+        Raises TrialError where it ends before.
         """
         self.known = known()
-        for _ in range(STARTS):
-            self._launch()
-            if await self._wait_until_serving():
-                self.record.note(Kind.PROCESS_READY, softswitch=self.process_name)
-                self.is_serving = self.takes_connections = True
-                return
-            if "can't listen" not in self.log_path.read_text():
-                break
-            self.address, self.admin = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
+        self._launch()
+        if await self._wait_until_serving():
+            self.record.note(Kind.PROCESS_READY, softswitch=self.process_name)
+            self.is_serving = self.takes_connections = True
+            return
         raise TrialError(f"{self.process_name} does not serve: {self.log_path.read_text()[-300:]}")
 
     def _launch(self) -> None:
@@ -241,3 +238,5 @@
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+        for sock in self._reserved:
+            sock.close()
--- a/tests/test_soak_rules.py
+++ b/tests/test_soak_rules.py
@@ -107,6 +107,14 @@
     assert not broken(burst(4.45)), "who has not been told of a start is not to blame"
     assert not broken([LIST[0], *OUTAGE, *late_setup(15.9)]), "told 6 s after discovery returned"
     assert not broken(without(moved(served(), Kind.CALLER_RELEASED, 12.9), Kind.RELEASE_SENT))
+    earlier = story(
+        (1.003, Kind.SETUP_RECEIVED, {"server": S}),
+        (1.004, Kind.ESTABLISHED, {"server": S, "detail": "d"}),
+        (1.2, Kind.CALL_OVER, {"server": S, "detail": "ended"}),
+        (1.3, Kind.RELEASE_SENT, {"server": S}),
+    )
+    second = [replace(each, at=each.at + 0.8) if each.at > 1.0 else each for each in served()]
+    assert not broken([*earlier, *second]), "the end of an attempt whose answer was lost is not the call's"
 
 
 @pytest.mark.parametrize(
