Give a set-up up on a connection that is up, where the one in use has ended

A server that is listed as gone closes its connection in use, with nothing on it, and keeps a superseded one with a pending set-up. When that timed out, send_release looked for the connection in use, found none and sent nothing: the set-up was out at the server beside the call's next attempt.

Change: while the connection in use is not up, a release goes on one that is, the set-up's own first. Connections tell the failure monitor by a protocol of its own instead of through the pool.

Measured: the new test fails without the change; tests of lost servers, server connections, scope, releases, outcomes, shutdown, scale, start and upgrade passed.

--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -34,6 +34,16 @@
 RECEIVED_COUNTERS = {str(verb): f"got_{verb}" for verb in Verb if verb is not Verb.START}
 
 
+class FailureObserver(Protocol):
+    """Who judges whether servers have failed."""
+
+    def connection_lost(self, connection: ServerConnection) -> None:
+        """A connection that was up has ended."""
+
+    def probe_failed(self, server: RosterServer) -> None:
+        """A further connection to a server did not come up."""
+
+
 class ConnectionOwner(Protocol):
     """What a connection asks of its pool."""
 
@@ -58,11 +68,9 @@
     def message_received(self, connection: ServerConnection, is_load_report: bool) -> None:
         """Something came: where a superseded connection should have brought it too, that one is dead."""
 
-    def connection_lost(self, connection: ServerConnection) -> None:
-        """A connection that was up has ended."""
-
-    def standby_failed(self, connection: ServerConnection) -> None:
-        """A standby has not come up."""
+    @property
+    def failures(self) -> FailureObserver:
+        """Who is told of what happens to connections."""
 
     def dial_again_later(self, server: RosterServer) -> None:
         """A connection has ended on which ends of calls may have been lost."""
@@ -221,7 +229,7 @@
             self.draining = True  # the one in use goes on; that one more is refused proves nothing
             core.counters.add("server_standbys_failed")
             core.log("server_standby_failed", server=self.server.record.instance, refused=refused)
-            self.pool.standby_failed(self)
+            self.pool.failures.probe_failed(self.server)
             return
         if not self.failure_logged:  # once: it is tried again every second
             core.log("server_connect_failed", server=self.server.record.instance, refused=refused)
@@ -245,7 +253,7 @@
         """
         core = self.pool.core
         self.liveness.connection_lost()
-        self.pool.connection_lost(self)
+        self.pool.failures.connection_lost(self)
         active = self.pool.active.get(self.server.id)
         self.server.connected = active is not None and active.liveness.is_connected
         unconfirmed = self.send_queue.take_unconfirmed_releases()
--- a/stairhatch/node/server_pool.py
+++ b/stairhatch/node/server_pool.py
@@ -99,13 +99,26 @@
 
     def send_release(self, server: RosterServer, ident: str, cause: int) -> None:
         """Give a set-up up, or release an established call."""
-        connection = self.active.get(server.id)
+        connection = self._connection_for_release(server, ident)
         if connection is None or not connection.send_queue.has_room_for_release:
             return
         for each in self.connections_to(server):
             each.forget_call(ident)
         connection.send_release(ident, cause)
 
+    def _connection_for_release(self, server: RosterServer, ident: str) -> ServerConnection | None:
+        """The connection in use; while that is not up, one that is, the set-up's own first.
+
+        A server that is gone keeps the connections on which a set-up is pending, and the one in use may have
+        ended: a set-up that could not be given up would be out beside the next attempt.
+        """
+        active = self.active.get(server.id)
+        if active is not None and active.liveness.is_connected:
+            return active
+        connected = [each for each in self.connections_to(server) if each.liveness.is_connected]
+        own = (each for each in connected if ident in each.pending_setups)
+        return next(own, None) or next(iter(connected), active)
+
     # ---- the end of this process ----
 
     def shut_down(self) -> None:
@@ -140,14 +153,6 @@
         """Whether a superseded connection to a server is still up."""
         return any(each.server is server and each.liveness.is_connected for each in self.superseded)
 
-    def connection_lost(self, connection: ServerConnection) -> None:
-        """A connection that was up has ended."""
-        self.failures.connection_lost(connection)
-
-    def standby_failed(self, connection: ServerConnection) -> None:
-        """A standby has not come up."""
-        self.failures.probe_failed(connection.server)
-
     def remove(self, connection: ServerConnection) -> None:
         """A connection has ended for good."""
         server = connection.server
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -219,6 +219,26 @@
     assert server.has_call(ident)
 
 
+def test_a_setup_is_given_up_on_its_connection_where_no_other_is_left() -> None:
+    """A server that is gone keeps a connection for the set-up that is pending on it, while the one in use
+    has ended. A dense trial (443) found the set-up out at one server and again at another.
+    """
+    server = ServerOnClock()
+    server.caller.receive_data(platform_invite(ident := next_call_id(), answer_within_ms="2000"))
+    server.run(0.05)
+    assert ident.encode() in server.connection.data_to_send()
+    server.pool.dial_standby(server.connection)
+    active = server.pool.standby[1]
+    server.connect(active)
+    gone = ServerRecord("s", ("127.0.0.1", 9), 0, Availability.GONE)
+    server.node.core.update_servers([gone], False)
+    assert active.can_close()
+    active.connection_lost()  # as the driver does
+    server.pool.remove(active)
+    server.run(2.0)
+    assert b'"FINISH","tag":"%s"' % ident.encode() in server.connection.data_to_send()
+
+
 def test_no_call_outlives_the_record_of_its_server() -> None:
     """A server is forgotten once its last connection has ended: a call that is left there would never end."""
     server = ServerOnClock()
