--- a/stairhatch/soak/deployment.py
+++ b/stairhatch/soak/deployment.py
@@ -26,6 +26,7 @@
     deadline_s: float
     objective_s: float
     call_length_s: float  # mean
+    pools: tuple[int, ...]  # numbers of the servers that it may go to
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,10 @@
     may_send_retry_after: bool
     sockets: int
     memory_mb: int
+    may_probe: bool
+    parallel_tries: bool
+    zones: tuple[str, ...]
+    tenants: int
     calls_per_s: float  # to each softswitch
     spare: float  # what all servers can take, as a multiple of the calls
 
@@ -67,7 +72,6 @@
 
     def settings(self, index: int) -> dict[str, Any]:
         """Return the settings of one softswitch, by its index."""
-        numbers = list(range(self.servers))
         return {
             "balancers": self.softswitches,
             "me": index,
@@ -81,13 +85,20 @@
                 for each in self.classes
             ],
             "family_info": {
-                "allowed_pools": [numbers for _ in self.classes],
+                "allowed_pools": [list(each.pools) for each in self.classes],
                 "call_length_s": [each.call_length_s for each in self.classes],
                 "clear_wait_s": self.retry_pause_s, "retransmit_s": 0.0, "self_no": -1, "layout": "pools",
             },
+            "az": index % max(1, len(self.zones)),
+            "zones": list(self.zones),
+            "parties": [
+                {"name": f"tenant-{each}", "quota_per_s": 10.0, "fraction": 1 / self.tenants}
+                for each in range(self.tenants)
+            ],
             "load_report": {"how": "inline", "names": ["free", "size", "mean_ms", "can_take"]},
             "permissions": {
-                "send_cap": self.max_attempts, "may_probe": False, "peers": False, "cancel": True,
+                "send_cap": self.max_attempts, "may_probe": self.may_probe, "peers": False, "cancel": True,
+                "parallel_tries": self.parallel_tries,
                 "retry_after": self.may_send_retry_after, "max_retry_after_s": 2.0,
                 "connect_timeout_s": self.connect_timeout_s,
             },
@@ -101,10 +112,11 @@
 def draw_deployment(rng: random.Random) -> Deployment:
     """Draw a deployment; the same state of the random source gives the same one."""
     short = rng.random() < 0.3  # deadlines so short that SIGKILL comes soon after SIGTERM
-    classes = tuple(_draw_class(rng, index, short) for index in range(rng.randint(1, 3)))
+    servers = rng.randint(3, 6)
+    classes = tuple(_draw_class(rng, index, short, servers) for index in range(rng.randint(1, 3)))
     return Deployment(
         softswitches=rng.randint(3, 4),
-        servers=rng.randint(3, 6),
+        servers=servers,
         classes=classes,
         retry_pause_s=rng.choice((0.15, 0.3, 0.5, 0.8)),
         max_attempts=rng.randint(2, 6),
@@ -113,12 +125,16 @@
         may_send_retry_after=rng.random() < 0.7,
         sockets=rng.choice((256, 512, 1024)),
         memory_mb=rng.choice((64, 96, 192)),
+        may_probe=rng.random() < 0.5,
+        parallel_tries=rng.random() < 0.3,
+        zones=("oslo", "bergen", "tromso")[: rng.randint(0, 3)],
+        tenants=rng.randint(0, 3),
         calls_per_s=round(rng.uniform(6.0, 25.0), 1),
         spare=round(rng.uniform(1.2, 4.0), 2),
     )
 
 
-def _draw_class(rng: random.Random, index: int, short: bool) -> DrawnClass:
+def _draw_class(rng: random.Random, index: int, short: bool, servers: int) -> DrawnClass:
     deadline_s = round(rng.uniform(0.4, 1.0) if short else rng.uniform(1.0, 9.0), 2)
     return DrawnClass(
         name=f"class-{index}",
@@ -126,4 +142,5 @@
         deadline_s=deadline_s,
         objective_s=round(deadline_s * rng.uniform(0.3, 0.9), 2),
         call_length_s=rng.choice((0.4, 2.0, 6.0, 15.0, 60.0)),
+        pools=tuple(sorted(rng.sample(range(servers), rng.randint(2, servers)))),
     )
--- a/stairhatch/soak/rules.py
+++ b/stairhatch/soak/rules.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from stairhatch.soak.deployment import FALL_MULTIPLE, FALL_S, WARM_AFTER_S, Deployment
+from stairhatch.soak.deployment import FALL_MULTIPLE, FALL_S, WARM_AFTER_S, Deployment, DrawnClass
 from stairhatch.soak.record import Kind, Observation, Record
 
 SLACK_S = 0.05
@@ -44,6 +44,7 @@
     DUPLICATE = "duplicate effect"
     DRAIN = "draining server"
     COLD = "cold server"
+    POOL = "allowed servers"
     LEFT = "who has left is gone"
     REFUSED = "refused in a drain"
     PROCESS = "process"
@@ -223,6 +224,7 @@
             if seen.kind is Kind.SETUP_RECEIVED:
                 count += 1
                 self._check_next(call, attempt, seen)
+                self._check_pool(call, call_class, seen)
                 if may_have_run and call_class.effect == NEVER_REPEATABLE:
                     self._broken(Rule.DUPLICATE, seen.at, call, "sent again though it may have run")
                 if left is not None and seen.at > left.at + GONE_AFTER_S + self.slack_s:
@@ -238,6 +240,12 @@
         if refused and may_have_run and call_class.effect == NEVER_REPEATABLE and left is None:
             self._broken(Rule.DUPLICATE, sent.at, call, "refused as harmless though it may have run")
 
+    def _check_pool(self, call: str, call_class: DrawnClass, setup: Observation) -> None:
+        """Check that 'a set-up to a roster server that the call may not go to' is not sent."""
+        self.cases[Rule.POOL] += 1
+        if int(setup.server.split("-")[1]) not in call_class.pools:
+            self._broken(Rule.POOL, setup.at, call, f"{call_class.name} may not go to {setup.server}")
+
     def _check_next(self, call: str, last: _Attempt | None, setup: Observation) -> None:
         if last is None:
             return
--- a/tests/test_soak_rules.py
+++ b/tests/test_soak_rules.py
@@ -11,8 +11,8 @@
 from stairhatch.soak.record import Kind, Observation, Record
 from stairhatch.soak.rules import Rule, RuleChecker
 
-UNSAFE = DrawnClass("unsafe", "non_idempotent", 3.0, 1.0, 5.0)
-SAFE = DrawnClass("safe", "read_like", 3.0, 1.0, 5.0)
+UNSAFE = DrawnClass("unsafe", "non_idempotent", 3.0, 1.0, 5.0, (0, 1))
+SAFE = DrawnClass("safe", "read_like", 3.0, 1.0, 5.0, (0, 1))
 N, S, T, CALL = "n0#1", "s-0", "s-1", "00000000000000aa"
 
 
@@ -163,6 +163,7 @@
             [*late_setup(5.0), Observation(3.5, Kind.DRAIN_ON, softswitch=N)],
         ),
         (Rule.COLD, burst(4.05)),
+        (Rule.POOL, [replace(each, server="s-2-3") if each.server else each for each in served()]),
         (Rule.PROCESS, process((4.0, Kind.PROCESS_ENDED, 1))),
         (Rule.PROCESS, process((30.5, Kind.KILL_SENT, 0))),
         (Rule.PROCESS, [Observation(4.0, Kind.LIMIT_EXCEEDED, softswitch=N, detail="70 of 64")]),
