Allow a close that the harness of dense trials saw late for what it was late

The harness stood still for 82 ms (667 ms at the longest), and took a set-up that crossed the close of its connection at the end of a process for one that was closed without an answer; the program had not read it.

--- a/stairhatch/soak/caller.py
+++ b/stairhatch/soak/caller.py
@@ -316,8 +316,9 @@
             if connection.closed_by_us:
                 self._note(Kind.CALLER_LEFT, call)
                 continue
-            crossed = now - call.sent_at <= CROSSING_S and not call.was_resent
-            self._note(Kind.CONNECTION_ENDED, call, detail="crossed" if crossed else "")
+            gap_s = now - call.sent_at
+            crossed = gap_s <= CROSSING_S and not call.was_resent
+            self._note(Kind.CONNECTION_ENDED, call, detail="crossed" if crossed else f"{gap_s:.3f}")
             if crossed:
                 again = self._new_call(call.softswitch, call.repeats)
                 again.was_resent = True
--- a/stairhatch/soak/rules.py
+++ b/stairhatch/soak/rules.py
@@ -18,6 +18,7 @@
 LATE_ANSWER_S = 0.5  # beyond the caller's time an answer only earns nothing
 TOLD_AFTER_RELEASE_S = 1.0
 TOLD_AFTER_END_S = 8.0
+CROSSED, CROSSING_S = "crossed", 0.05
 GONE_AFTER_S = 0.1  # what callers have sent is read within this
 NOTIFIED_AFTER_S = 7.0  # what the coordinator has to tell counts as told
 NOTIFIED_AFTER_FAILURE_S = 6.0  # the same, after a failed call to it
@@ -146,7 +147,7 @@
                 return
             ended = _first(story, Kind.CONNECTION_ENDED)
             if ended is not None:
-                if ended.detail != "crossed":
+                if not self._crossed(ended):
                     self._broken(Rule.ANSWER, ended.at, call, "its connection ended without an answer")
             elif self.ends_at > sent.at + _wait_s(sent) + LATE_ANSWER_S + self.slack_s:
                 self._broken(Rule.ANSWER, sent.at, call, "no answer")
@@ -154,6 +155,15 @@
             late_s = answers[0].at - sent.at - _wait_s(sent)
             self._broken(Rule.ANSWER, answers[0].at, call, f"{late_s:.2f} s after its time")
 
+    def _crossed(self, ended: Observation) -> bool:
+        """Whether a set-up crossed the close of its connection.
+
+        'A set-up that crosses such a close within 50 ms is sent again, once, on a new connection.' Where the
+        harness stood still it saw the close late by so much.
+        """
+        late_s = self.slack_s - SLACK_S
+        return ended.detail == CROSSED or (late_s > 0 and float(ended.detail) <= CROSSING_S + late_s)
+
     def _check_served(self, call: str, story: list[Observation]) -> None:
         """Lost is 'an answer 'served' with what no roster server made for it'."""
         for answer in story:
