Test a refusing port where no ended connection keeps it from others by itself

Change: the check is a test of its own on a port that nobody has connected to, as strict and able to fail.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,8 +70,6 @@
         found.append(await connects(port, 5.0))
         port.refuse()
         found.append(await connects(port, 5.0))
-        with socket.socket() as other, pytest.raises(OSError, match="in use"):
-            other.bind(("127.0.0.1", port.number))  # nobody else gets it meanwhile
         port.accept()
         found.append(await connects(port, 5.0))
         port.close()
@@ -82,6 +80,21 @@
     assert uvloop.run(scenario()) == ["up", "unanswered", "up", "refused", "up"]
 
 
+def test_nobody_else_gets_a_port_while_it_refuses():
+    """Another trial's server once got a dead server's port. Nobody has connected to this one: a connection
+    that has just ended would keep the port from others by itself.
+    """
+
+    async def scenario() -> None:
+        port = Port(lambda _: None)
+        port.refuse()
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(("127.0.0.1", port.number))
+        port.close()
+
+    uvloop.run(scenario())
+
+
 def test_a_trial_without_a_process_that_serves_is_not_run(monkeypatch):
     """What could not be played is never taken for good."""
     monkeypatch.setattr("stairhatch.soak.softswitch.Softswitch._wait_until_serving", never)
