--- a/review/standins.py
+++ b/review/standins.py
@@ -17,6 +17,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -645,6 +646,7 @@
         temporary = self.folder / f"tmp-{self.starts}"
         temporary.mkdir()
         environment = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+        environment |= {"RELAY_NAME": self.name, "RELAY_LISTEN": str(self.config["listen"])}
         environment |= {"RELAY_CONFIG": str(self.config_path), "TMPDIR": str(temporary)}
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         with (self.folder / f"log-{self.starts}.txt").open("wb") as log:
@@ -742,11 +744,14 @@
 def main(scenario: Callable[[Record, Path], Any], out: Path) -> int:
     """Play a scenario and return the exit code: 1 if it names broken rules, 0 if not, 2 if it can't run."""
     record = Record()
+    signal.signal(
+        signal.SIGTERM, lambda *_: sys.exit(2)
+    )  # the processes that were started are ended then too
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # writes to connections that have just been reset
     with tempfile.TemporaryDirectory(prefix="review-") as name:
         try:
             broken = asyncio.run(asyncio.wait_for(_play(scenario, record, Path(name)), 110.0))
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except Exception as error:  # noqa: BLE001 - a fault of the case itself is no broken rule
             record.note("harness", f"could not run: {type(error).__name__}: {error}")
             record.write(out)
             print(f"could not run: {error}")
