Cut off a SIP peer only behind a full socket or a dial that does not succeed

What peers would see: a trunk over TCP whose calls were at a server that is lost is cut off with its pending set-ups as the BYEs of one turn exceed 256 KiB. Cause: SipConnection.send took the amount of queued output for a peer that reads too slowly, though the driver had no chance to write it. Change: the bound holds while a write waits for the socket, and before the connection is up; memory stays bounded in both.

--- a/stairhatch/sip/transport.py
+++ b/stairhatch/sip/transport.py
@@ -16,7 +16,7 @@
 from stairhatch.node.protocol import ConnectionProtocol, do_nothing
 from stairhatch.sip.addresses import AllowedNetworks, TransportAddress
 
-MAX_OUTPUT_BYTES = 256 * 1024  # queued per connection; beyond it the peer reads too slowly and is cut off
+MAX_OUTPUT_BYTES = 256 * 1024  # queued behind a socket that takes nothing, or before a dial succeeds
 MAX_QUEUED_DATAGRAMS = 4096  # per port; beyond it the oldest is dropped
 KEEPALIVE_ANSWER = b"\r\n"  # RFC 5626, 4.4.1
 MAX_FAULTS = 8  # malformed messages on a connection before it is closed, even if the parser resynchronized
@@ -151,6 +151,7 @@
         self.output: list[bytes] = []
         self.faults = 0
         self._output_bytes = 0
+        self._has_driver = False  # the driver has fetched output: the connection is up
         self._parser = sip_parser.StreamParser(resynchronizes=True)
         self._peer_closed = False  # data that the peer sent before may still be unread
         self._unanswered: set[bytes] = set()  # keys of transactions that await their final response
@@ -215,13 +216,14 @@
         super().close_when_idle()
 
     def send(self, data: bytes) -> None:
-        """Queue a message; abort the connection if more than `MAX_OUTPUT_BYTES` are queued.
+        """Queue a message; abort the connection if over `MAX_OUTPUT_BYTES` wait and the peer reads nothing.
 
-        The peer then reads too slowly.
+        Messages that are queued in one turn prove nothing, since the driver had no chance to write them.
         """
         self.output.append(data)
         self._output_bytes += len(data)
-        if self._output_bytes > MAX_OUTPUT_BYTES:
+        is_blocked = self.writing or not self._has_driver
+        if is_blocked and self._output_bytes > MAX_OUTPUT_BYTES:
             self.handler.counters.add("connections_slow_closed")
             self.closing = True
             self.abort()
@@ -248,6 +250,7 @@
 
     def data_to_send(self) -> bytes:
         """Return the queued output and empty the queue."""
+        self._has_driver = True
         data = b"".join(self.output)
         self.output.clear()
         self._output_bytes = 0
