Let the list confirm a server only where a restart would be listed in time

Cause: FailureDetector.confirm_by_list took any complete answer from 4.5 s after the last sign of life on for proof that the process had not restarted. The restart may have come at any time until the new connection was up, and is listed seconds after that. Change: what is received on a possible successor is kept with the time at which its connection came up; the list confirms it only within 2.75 s of the last confirmation, the 7.25 s limit less the 4.5 s in which a restart is listed. A restart before that is listed before the calls count as lost. New event server_confirmed_by_list with its evidence. Tests: test_callers_are_told_in_time_of_a_server_that_returns_cold[5.0] and two cases of test_calls_outlive_a_cut_only_if_a_restart_would_be_listed_in_time fail on the code before. The latter replaces test_calls_outlive_a_cut_only_if_the_coordinator_confirms_their_server, which pinned the fault (a cut of 6 s, confirmed by a list of the same moment); it has five cases for its two.

--- a/stairhatch/node/failure_detector.py
+++ b/stairhatch/node/failure_detector.py
@@ -1,15 +1,20 @@
 """A time-out failure detector for the process that holds the calls of one roster server.
 
 The calls count as lost once nothing has confirmed for `LOST_AFTER_S` that the process which holds them is
-alive. Two things confirm it. One is a message on a connection that is known to lead to that process. The
-other is a complete answer of the coordinator that still lists the server, `LISTED_AFTER_S` or more after the
-last confirmation, but only if messages arrive from the server by then: the coordinator may detect late that a
-silent server is gone.
-
-A connection that comes up after all others have broken, or while they are silent, may lead to another process
-at the same address, which does not hold the calls. Its messages confirm nothing until a message arrives on
-one of the older connections as well. The module uses no socket; times are those of the call manager's clock,
-in seconds.
+alive. Two things confirm it. One is a message on a connection that is known to lead to that process.
+
+The other is an answer of the coordinator. A connection that comes up after all others have broken, or while
+they are silent, may lead to another process at the same address, which does not hold the calls. What is
+received on it is kept as a `Sighting`, and confirms nothing until a message arrives on one of the older
+connections as well, or until the coordinator answers completely `LISTED_AFTER_S` or more after the last
+confirmation and lists no restart.
+
+The coordinator may learn of a restart `LISTED_AFTER_S` or more after it. So its answer counts only for a
+connection that came up within `MAX_SUCCESSION_S` of the last confirmation: if the process restarted before
+that, the list says so before the calls would count as lost. A restart during a longer loss may be listed too
+late, and an answer that does not list it proves nothing.
+
+The module uses no socket; times are those of the call manager's clock, in seconds.
 """
 
 from __future__ import annotations
@@ -22,7 +27,8 @@
 LOST_AFTER_S = 7.25  # a caller must receive the release of its call within 8 s of the call's end
 PROBE_AFTER_S = 2.0  # silence after which the server is probed with an additional connection
 PROBE_INTERVAL_S = 2.0  # between two probes; after a probe that fails to connect the next one is due at once
-LISTED_AFTER_S = 4.5  # after the last confirmation: by then the coordinator lists a restart or an end
+LISTED_AFTER_S = 4.5  # from a restart or an end until the coordinator lists it
+MAX_SUCCESSION_S = LOST_AFTER_S - LISTED_AFTER_S  # from the last confirmation until a connection came up
 STALL_THRESHOLD_S = 0.5  # a longer gap between checks shows a stall: messages are read before a verdict
 
 
@@ -40,6 +46,16 @@
         return self in (ServerVerdict.SILENT, ServerVerdict.REPLACED)
 
 
+@dataclass(slots=True, eq=False, repr=False)
+class Sighting:
+    """The messages on one connection that may lead to another process; times in seconds."""
+
+    connection: Hashable
+    connected_at: float
+    first_received_at: float
+    last_received_at: float
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class FailureDetector:
     """The failure detector of one roster server, over all connections to it.
@@ -51,9 +67,9 @@
 
     confirmed_at: float = -math.inf  # when the process that holds the calls was last known to be alive
     last_received_at: float = -math.inf  # when the last message arrived, from any process
-    successor_received_at: float | None = None  # first message from what may be another process
     trusted: set[Hashable] = field(default_factory=set)  # connections that lead to the process with the calls
-    successors: set[Hashable] = field(default_factory=set)  # connections that may lead to another process
+    sightings: list[Sighting] = field(default_factory=list)  # unconfirmed, also of ended connections
+    successors: dict[Hashable, Sighting] = field(default_factory=dict)  # those of open connections
     reports_load: bool = False
     probed_at: float = -math.inf
     checked_at: float = -math.inf
@@ -74,35 +90,54 @@
         if connection in self.trusted or connected_at < self.confirmed_at:
             self.trusted.add(connection)
             self.confirmed_at = now
-            self.successor_received_at = None
-            self.successors.clear()
+            self._clear_sightings()
             return
-        self.successors.add(connection)
-        if self.successor_received_at is None:
-            self.successor_received_at = now
+        sighting = self.successors.get(connection)
+        if sighting is None:
+            sighting = self.successors[connection] = Sighting(connection, connected_at, now, now)
+            self.sightings.append(sighting)
+        sighting.last_received_at = now
 
     def connection_lost(self, connection: Hashable) -> None:
-        """Drop a connection that has ended."""
+        """Drop a connection that has ended; what was received on it may still be confirmed."""
         self.trusted.discard(connection)
-        self.successors.discard(connection)
+        self.successors.pop(connection, None)
 
-    def trust_successor(self) -> None:
-        """Treat the process behind the successor connections as the one that holds the calls."""
-        self.trusted |= self.successors
-        self.successors.clear()
-        self.successor_received_at = None
+    def trust_successors(self) -> None:
+        """Treat the process behind all connections as the one that holds the calls."""
+        self.trusted.update(self.successors)
+        self._clear_sightings()
         self.confirmed_at = self.last_received_at
 
-    def confirm_by_list(self, listed_at: float) -> None:
-        """Trust the successor if a complete answer at `listed_at` lists the server late enough."""
-        if self.successor_received_at is not None and listed_at >= self.confirmed_at + LISTED_AFTER_S:
-            self.trust_successor()
+    def confirm_by_list(self, listed_at: float) -> bool:
+        """Confirm what a complete answer at `listed_at` shows to be messages of the process with the calls.
+
+        Returns whether there were any.
+        """
+        confirmed_before = self.confirmed_at
+        while self.sightings and self._is_confirmed_by_list(self.sightings[0], listed_at):
+            sighting = self.sightings.pop(0)
+            self.confirmed_at = max(self.confirmed_at, sighting.last_received_at)
+            if self.successors.get(sighting.connection) is sighting:
+                del self.successors[sighting.connection]
+                self.trusted.add(sighting.connection)
+        return self.confirmed_at > confirmed_before
+
+    def _is_confirmed_by_list(self, sighting: Sighting, listed_at: float) -> bool:
+        if sighting.connected_at < self.confirmed_at:
+            return True  # the process was confirmed while the connection was up
+        is_listed_in_time = sighting.connected_at <= self.confirmed_at + MAX_SUCCESSION_S
+        return is_listed_in_time and listed_at >= self.confirmed_at + LISTED_AFTER_S
+
+    def _clear_sightings(self) -> None:
+        self.sightings.clear()
+        self.successors.clear()
 
     # ---- verdict ----
 
     def lost_before(self) -> float:
         """Return the time before which calls belong to the unconfirmed process; inf: all calls do."""
-        return math.inf if self.successor_received_at is None else self.successor_received_at
+        return self.sightings[0].first_received_at if self.sightings else math.inf
 
     def check(self, now: float) -> ServerVerdict:
         """Return the verdict on the messages received until now; the monitor calls this regularly."""
@@ -115,13 +150,13 @@
             return ServerVerdict.CONFIRMED
         if unconfirmed_s < LOST_AFTER_S or self.has_stalled:
             return ServerVerdict.UNCONFIRMED
-        return ServerVerdict.SILENT if self.successor_received_at is None else ServerVerdict.REPLACED
+        return ServerVerdict.REPLACED if self.sightings else ServerVerdict.SILENT
 
     def reset_after_loss(self) -> list[Hashable]:
         """Reset the detector as the lost process's calls are ended; return the connections that led to it."""
         lost = list(self.trusted)
         self.trusted.clear()
-        self.trust_successor()
+        self.trust_successors()
         return lost
 
     # ---- probes ----
--- a/stairhatch/node/failure_monitor.py
+++ b/stairhatch/node/failure_monitor.py
@@ -63,7 +63,7 @@
             detector = self._detectors[server.id] = FailureDetector()
         connected_at = connection.liveness.connected_at
         detector.message_received(connection, connected_at, self._call_manager.clock(), is_load_report)
-        if detector.successor_received_at is not None:
+        if detector.sightings:
             self._judge_successor(server, detector)
 
     def connection_lost(self, connection: ServerConnection) -> None:
@@ -92,7 +92,7 @@
             self._check(servers[server_id], detector)
 
     def _check(self, server: RosterServer, detector: FailureDetector) -> None:
-        if detector.successor_received_at is not None:
+        if detector.sightings:
             self._judge_successor(server, detector)
         verdict = detector.check(self._call_manager.clock())
         if verdict is ServerVerdict.CONFIRMED:
@@ -108,9 +108,22 @@
     def _judge_successor(self, server: RosterServer, detector: FailureDetector) -> None:
         """Trust a possible other process if no call is at risk, or if the coordinator confirms the server."""
         if not self._has_calls(server, detector):
-            detector.trust_successor()
+            detector.trust_successors()
         elif not self._shares_address(server):
-            detector.confirm_by_list(self._call_manager.servers.list_confirmed_at)
+            self._confirm_by_list(server, detector)
+
+    def _confirm_by_list(self, server: RosterServer, detector: FailureDetector) -> None:
+        """Let the coordinator's last answer confirm the process, and log what that rests on."""
+        confirmed_at = detector.confirmed_at
+        connected_at = detector.sightings[0].connected_at
+        listed_at = self._call_manager.servers.list_confirmed_at
+        if detector.confirm_by_list(listed_at):
+            self._call_manager.log(
+                "server_confirmed_by_list",
+                server=server.record.instance,
+                connected_after_s=round(connected_at - confirmed_at, 2),
+                listed_after_s=round(listed_at - confirmed_at, 2),
+            )
 
     def _shares_address(self, server: RosterServer) -> bool:
         """Return whether another server, from which messages may come instead, is listed at the address."""
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -9,6 +9,7 @@
 from stairhatch.fleet.endpoint_list_runtime import EndpointListRelay
 from stairhatch.fleet.messages import EndpointUpdate
 from stairhatch.node.calls import ServerRecord
+from stairhatch.node.failure_detector import FailureDetector, ServerVerdict
 from stairhatch.node.platform_frontend import PlatformFrontend
 from stairhatch.node.server_connection import ServerConnection
 from stairhatch.node.server_pool import ServerConnectionPool
@@ -24,6 +25,7 @@
 from .support.waiting import wait_until
 
 RELEASE_LIMIT_S = 8.0  # from the unreported end of a call to its release (the platform's protocol page)
+LISTED_LATE_S = 5.0  # from a restart until the coordinator lists it
 LOAD_LINE = b'{"verb":"LOAD","tag":"","opts":{"load":"free:50;size:90"}}\n'
 
 
@@ -129,21 +131,28 @@
     assert server.has_call(ident)
 
 
-@pytest.mark.parametrize("list_answers", [True, False])
-def test_calls_outlive_a_cut_only_if_the_coordinator_confirms_their_server(list_answers: bool) -> None:
-    """After a cut the old connections stay silent, and the process that answers on a new one may be another
-    process at the same address. The coordinator's answers confirm it; without them the calls are ended in
-    time.
+@pytest.mark.parametrize(
+    ("cut_s", "list_answers", "continues"),
+    [(2.1, True, True), (2.1, False, False), (5.0, True, False), (6.0, True, False), (6.0, False, False)],
+)
+def test_calls_outlive_a_cut_only_if_a_restart_would_be_listed_in_time(
+    cut_s: float, list_answers: bool, continues: bool
+) -> None:
+    """Guards against callers told 9 s late of a server that was lost for 5 s and returned cold (review/2).
+
+    After a cut the old connections stay silent, and the process that answers on a new one may be another
+    process at the same address. An answer of the coordinator confirms it only after a short cut: a restart
+    during a longer one may be listed too late. Without a confirmation the calls are ended in time.
     """
     server = ServerOnClock(list_answers)
     ident = server.establish_call()
-    server.run(6.0)
+    server.run(cut_s)
     server.connect(server.pool.standby[1])
     successor = server.pool.active[1]
-    for _ in range(10):
+    while server.node.now < server.started_at + RELEASE_LIMIT_S - 0.2:
         server.run(0.2)
         successor.receive_data(LOAD_LINE)
-    assert server.has_call(ident) is list_answers
+    assert server.has_call(ident) is continues
     later_ident = server.establish_call()
     for _ in range(50):
         server.run(0.4)
@@ -151,6 +160,65 @@
     assert server.has_call(later_ident), "the process that answers holds this call"
 
 
+@pytest.mark.parametrize("cut_s", [2.1, 5.0])
+def test_callers_are_told_in_time_of_a_server_that_returns_cold(cut_s: float) -> None:
+    """Guards against a confirmation by the coordinator's list that costs callers the limit: the coordinator
+    answers all the time, and lists the restart 5 s after it.
+    """
+    server = ServerOnClock(list_answers=True)
+    ident = server.establish_call()
+    server.run(cut_s)
+    restarted_at = server.node.now
+    server.connect(server.pool.standby[1])
+    successor = server.pool.active[1]
+    while server.node.now < server.started_at + RELEASE_LIMIT_S - 0.2:
+        server.run(0.2)
+        successor.receive_data(LOAD_LINE)
+        if server.node.now >= restarted_at + LISTED_LATE_S:
+            restarted = ServerRecord("s", ("127.0.0.1", 9), 0, Availability.READY, started_at=restarted_at)
+            server.node.call_manager.update_servers([restarted], True)
+    assert "BYE" in take_statuses(server.caller, ident)
+
+
+def test_calls_outlive_a_long_cut_after_which_an_old_connection_speaks() -> None:
+    """A server that was only cut off still has its calls, and shows it on the connection from before."""
+    server = ServerOnClock(list_answers=True)
+    ident = server.establish_call()
+    server.run(5.0)
+    server.connect(server.pool.standby[1])
+    server.run(0.3)
+    server.connection.receive_data(LOAD_LINE)
+    successor = server.pool.active[1]
+    for _ in range(50):
+        server.run(0.4)
+        successor.receive_data(LOAD_LINE)
+    assert server.has_call(ident)
+
+
+def test_the_list_confirms_a_process_over_several_broken_connections() -> None:
+    """What was received on a connection that has ended counts once the coordinator confirms it, so that the
+    next one is judged by it; a connection that came up long after everything confirmed is not trusted.
+    """
+    detector = FailureDetector()
+    detector.message_received("first", 0.0, 0.0, is_load_report=True)
+    detector.trust_successors()
+    detector.connection_lost("first")
+    detector.message_received("second", 0.1, 2.0, is_load_report=True)
+    detector.connection_lost("second")
+    detector.message_received("third", 4.5, 4.6, is_load_report=True)
+    assert not detector.confirm_by_list(4.4), "a restart before the second is not listed for certain"
+    assert detector.confirm_by_list(4.6)
+    assert detector.confirmed_at == 2.0
+    assert detector.lost_before() == 4.6
+    assert detector.confirm_by_list(6.6)
+    assert detector.confirmed_at == 4.6
+    detector.connection_lost("third")
+    detector.message_received("fourth", 7.5, 7.6, is_load_report=True)
+    assert not detector.confirm_by_list(11.0)
+    detector.check(11.8)
+    assert detector.check(11.9) is ServerVerdict.REPLACED
+
+
 def test_calls_are_ended_if_another_process_replaces_their_server_at_its_address() -> None:
     """A process that dies and is replaced before the next dial refuses no connection. The coordinator, which
     would list the restart, does not answer.
