Confirm a server that returns after a long cut by its release of a call from before

Cause: nothing else told such a server from one that had returned cold. Change: a normal release (cause 16), on a connection that may lead to another process, of a call that was established at that server before confirms the process: a cold one would not know the call. Cause 41 and calls set up since prove nothing. New event server_confirmed_by_release. The new test has three cases; with the call of release_received taken out the first fails.

--- a/stairhatch/node/calls.py
+++ b/stairhatch/node/calls.py
@@ -180,26 +180,18 @@
         call = self.by_ident.get(ident)
         return call is not None and call.state is CallState.ESTABLISHED
 
+    def is_established_at(self, ident: str, server: RosterServer, before: float) -> bool:
+        """Whether the call with this id was established at the server before a time, and still is."""
+        call = self.by_ident.get(ident)
+        return call is not None and _is_established_at(call, server, before)
+
     def has_established_at(self, server: RosterServer, before: float = math.inf) -> bool:
         """Whether any call that is still established was established at the server before a time."""
-        return any(
-            call.state is CallState.ESTABLISHED
-            and call.attempt is not None
-            and call.attempt.server is server
-            and call.established_at < before
-            for call in self.by_number.values()
-        )
+        return any(_is_established_at(call, server, before) for call in self.by_number.values())
 
     def established_at(self, server: RosterServer, before: float) -> list[Call]:
         """Return the calls still established that were established at the server before a time."""
-        return [
-            call
-            for call in self.by_number.values()
-            if call.state is CallState.ESTABLISHED
-            and call.attempt is not None
-            and call.attempt.server is server
-            and call.established_at < before
-        ]
+        return [call for call in self.by_number.values() if _is_established_at(call, server, before)]
 
     def was_terminated(self, ident: str) -> bool:
         """Whether a call with this id has terminated recently and its id is still kept."""
@@ -215,3 +207,9 @@
             or next(iter(self._terminated.values())) < now - TERMINATED_KEPT_S
         ):
             self._terminated.popitem(last=False)
+
+
+def _is_established_at(call: Call, server: RosterServer, before: float) -> bool:
+    if call.state is not CallState.ESTABLISHED or call.attempt is None:
+        return False
+    return call.attempt.server is server and call.established_at < before
--- a/stairhatch/node/failure_detector.py
+++ b/stairhatch/node/failure_detector.py
@@ -1,13 +1,13 @@
 """A time-out failure detector for the process that holds the calls of one roster server.
 
 The calls count as lost once nothing has confirmed for `LOST_AFTER_S` that the process which holds them is
-alive. Two things confirm it. One is a message on a connection that is known to lead to that process.
+alive. A message does on a connection that is known to lead to that process.
 
-The other is an answer of the coordinator. A connection that comes up after all others have broken, or while
-they are silent, may lead to another process at the same address, which does not hold the calls. What is
-received on it is kept as a `Sighting`, and confirms nothing until a message arrives on one of the older
-connections as well, or until the coordinator answers completely `LISTED_AFTER_S` or more after the last
-confirmation and lists no restart.
+A connection that comes up after all others have broken, or while they are silent, may lead to another process
+at the same address, which does not hold the calls. What is received on it is kept as a `Sighting`. It counts
+once a message arrives on one of the older connections as well, or the server releases one of the calls on it,
+or once the coordinator answers completely `LISTED_AFTER_S` or more after the last confirmation and lists no
+restart.
 
 The coordinator may learn of a restart `LISTED_AFTER_S` or more after it. So its answer counts only for a
 connection that came up within `MAX_SUCCESSION_S` of the last confirmation: if the process restarted before
@@ -109,6 +109,15 @@
         self._clear_sightings()
         self.confirmed_at = self.last_received_at
 
+    def confirm_by_release(self, connection: Hashable, now: float) -> None:
+        """Confirm the process behind a connection on which it has released one of the calls normally.
+
+        Another process at the address would not know the call.
+        """
+        self.trusted.add(connection)
+        self.confirmed_at = now
+        self._clear_sightings()
+
     def confirm_by_list(self, listed_at: float) -> bool:
         """Confirm what a complete answer at `listed_at` shows to be messages of the process with the calls.
 
--- a/stairhatch/node/failure_monitor.py
+++ b/stairhatch/node/failure_monitor.py
@@ -71,6 +71,23 @@
         if (detector := self._detectors.get(connection.server.id)) is not None:
             detector.connection_lost(connection)
 
+    def release_received(self, connection: ServerConnection, ident: str, cause: int) -> None:
+        """Let the normal release of a call that the unconfirmed process held confirm that process."""
+        server = connection.server
+        detector = self._detectors.get(server.id)
+        if detector is None or connection not in detector.successors or cause != ReleaseCause.NORMAL_CLEARING:
+            return
+        if not self._call_manager.calls.is_established_at(ident, server, detector.lost_before()):
+            return
+        now = self._call_manager.clock()
+        self._call_manager.log(
+            "server_confirmed_by_release",
+            server=server.record.instance,
+            call=ident,
+            unconfirmed_s=round(now - detector.confirmed_at, 2),
+        )
+        detector.confirm_by_release(connection, now)
+
     def probe_failed(self, server: RosterServer) -> None:
         """Note in a server's detector that an additional connection did not come up."""
         if (detector := self._detectors.get(server.id)) is not None:
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -40,6 +40,9 @@
     def connection_lost(self, connection: ServerConnection) -> None:
         """Handle the loss of a connection that was up."""
 
+    def release_received(self, connection: ServerConnection, ident: str, cause: int) -> None:
+        """Handle a server's release of a call, before the call is ended; `cause` is a Q.850 cause."""
+
     def probe_failed(self, server: RosterServer) -> None:
         """Handle the failure to open an additional connection to a server."""
 
@@ -347,6 +350,7 @@
                     responses.setup_progressing(self.server, call_id)
             case Verb.FINISH:
                 self.pending_setups.pop(call_id, None)
+                self.pool.failures.release_received(self, call_id, message.cause)
                 responses.call_released(self.server, call_id, message.cause, message.note, report)
                 for each in self.pool.connections_to(self.server):
                     each.established_calls.discard(call_id)
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -195,6 +195,31 @@
     assert server.has_call(ident)
 
 
+@pytest.mark.parametrize(
+    ("released", "cause", "continues"),
+    [("of before the cut", 16, True), ("of before the cut", 41, False), ("of after the cut", 16, False)],
+)
+def test_calls_outlive_a_long_cut_if_the_server_releases_another_of_them(
+    released: str, cause: int, continues: bool
+) -> None:
+    """Guards against calls that are ended though they stand: a server that reports the end of a call from
+    before the cut has not lost the others. That of a later call, or of one that was cut, proves nothing.
+    """
+    server = ServerOnClock(list_answers=True)
+    ident, earlier = server.establish_call(), server.establish_call()
+    server.run(5.0)
+    server.connect(server.pool.standby[1])
+    successor = server.pool.active[1]
+    later = server.establish_call()
+    call_id = earlier if released == "of before the cut" else later
+    line = b'{"verb":"FINISH","tag":"%s","opts":{},"rc":%d}\n' % (call_id.encode(), cause)
+    successor.receive_data(line)
+    for _ in range(50):
+        server.run(0.4)
+        successor.receive_data(LOAD_LINE)
+    assert server.has_call(ident) is continues
+
+
 def test_the_list_confirms_a_process_over_several_broken_connections() -> None:
     """What was received on a connection that has ended counts once the coordinator confirms it, so that the
     next one is judged by it; a connection that came up long after everything confirmed is not trusted.
