--- a/stairhatch/node/failure_detector.py
+++ b/stairhatch/node/failure_detector.py
@@ -6,10 +6,10 @@
 A connection that comes up after all others have broken, or while they are silent, may lead to another process
 at the same address, which does not hold the calls. What is received on it is kept as a `Sighting`. It counts
 once a message arrives on one of the older connections as well, or the server releases one of the calls on it,
-or once the coordinator answers completely `LISTED_AFTER_S` or more after the last confirmation and lists no
+or once the coordinator answers completely `LISTING_DELAY_S` or more after the last confirmation and lists no
 restart.
 
-The coordinator may learn of a restart `LISTED_AFTER_S` or more after it. So its answer counts only for a
+The coordinator lists a restart only some time after it (`LISTING_DELAY_S`). So its answer counts only for a
 connection that came up within `MAX_SUCCESSION_S` of the last confirmation: if the process restarted before
 that, the list says so before the calls would count as lost. A restart during a longer loss may be listed too
 late, and an answer that does not list it proves nothing.
@@ -27,8 +27,8 @@
 LOST_AFTER_S = 7.25  # a caller must receive the release of its call within 8 s of the call's end
 PROBE_AFTER_S = 2.0  # silence after which the server is probed with an additional connection
 PROBE_INTERVAL_S = 2.0  # between two probes; after a probe that fails to connect the next one is due at once
-LISTED_AFTER_S = 4.5  # from a restart or an end until the coordinator lists it
-MAX_SUCCESSION_S = LOST_AFTER_S - LISTED_AFTER_S  # from the last confirmation until a connection came up
+LISTING_DELAY_S = 4.5  # from a restart or an end until the coordinator lists it
+MAX_SUCCESSION_S = LOST_AFTER_S - LISTING_DELAY_S  # from the last confirmation until a connection came up
 STALL_THRESHOLD_S = 0.5  # a longer gap between checks shows a stall: messages are read before a verdict
 
 
@@ -136,7 +136,7 @@
         if sighting.connected_at < self.confirmed_at:
             return True  # the process was confirmed while the connection was up
         is_listed_in_time = sighting.connected_at <= self.confirmed_at + MAX_SUCCESSION_S
-        return is_listed_in_time and listed_at >= self.confirmed_at + LISTED_AFTER_S
+        return is_listed_in_time and listed_at >= self.confirmed_at + LISTING_DELAY_S
 
     def _clear_sightings(self) -> None:
         self.sightings.clear()
--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -26,7 +26,7 @@
 from stairhatch.node.release_delivery import ReleaseDelivery
 
 MAX_EARLY_CANCELS = 4096  # limit on the ids of set-ups whose CANCEL arrived first, on another connection
-MAX_FAULTS = 8  # a connection is closed after this many unusable requests
+MAX_UNUSABLE_REQUESTS = 8  # a connection is closed after this many unusable requests
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -132,7 +132,7 @@
         self.requests = 0
         self.is_caller = False  # got a non-health-check request, or none within CALLER_DETECTION_DELAY_S
         self.has_acknowledged = False  # a release was acknowledged on this connection
-        self._faults = 0  # unusable requests
+        self._unusable_requests = 0
         self._peer_closed = False  # data received before may still be unread
         self._releases_sent: set[str] = set()  # call ids of unacknowledged releases sent on this connection
         self._parser = sip_parser.StreamParser()
@@ -350,14 +350,14 @@
     def _reject_unusable(
         self, message: sip.SipMessage, status: int, extra: sip.Headers | None = None
     ) -> None:
-        """Respond to an unusable request; close the connection after `MAX_FAULTS` of them.
+        """Respond to an unusable request; close the connection after `MAX_UNUSABLE_REQUESTS` of them.
 
         A connection with pending set-ups is not closed.
         """
-        self._faults += 1
+        self._unusable_requests += 1
         self.call_manager.counters.add("requests_unusable")
         self.respond(message, status, extra or [])
-        if self._faults >= MAX_FAULTS and not self.pending:
+        if self._unusable_requests >= MAX_UNUSABLE_REQUESTS and not self.pending:
             self.call_manager.counters.add("connections_faulty_closed")
             self._close_when_written()
 
--- a/stairhatch/node/release_delivery.py
+++ b/stairhatch/node/release_delivery.py
@@ -17,7 +17,7 @@
 RELEASE_KEPT_S = 30.0  # a release waits this long for a caller to connect
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.3  # an unacknowledged release is sent on another connection after this time
 EXPIRY_MARGIN_S = 0.01  # the expiry timer of a release fires this long after RELEASE_KEPT_S
-MAX_ATTEMPTS = 4  # sends of one release before it is kept for the next caller that connects
+MAX_SENDS = 4  # sends of one release before it is kept for the next caller that connects
 MAX_PENDING = 8192  # limit on unacknowledged releases; above it the oldest is dropped
 MAX_REQUESTS_RANKED = 8  # more requests on a connection don't make it likelier that its caller reads
 
@@ -118,7 +118,7 @@
         if now - release.since > RELEASE_KEPT_S:
             self._drop(call_id)
             return
-        if len(release.tried) >= MAX_ATTEMPTS:  # no connected caller reads: kept for the next connection
+        if len(release.tried) >= MAX_SENDS:  # no connected caller reads: kept for the next connection
             release.tried.clear()
             expires_at = release.since + RELEASE_KEPT_S + EXPIRY_MARGIN_S
             call_manager.timers.schedule(
