Split the checker of dense trials: processes, attempts and violations in modules

Change: Rule and Violation, ProcessTimes with the method that records its events, and ServerAttempt have modules of their own; a test imports Rule from its new place.

--- a/stairhatch/soak/rules.py
+++ b/stairhatch/soak/rules.py
@@ -8,11 +8,12 @@
 
 import math
 from collections import defaultdict
-from dataclasses import dataclass, field
-from enum import StrEnum
 
 from stairhatch.soak.deployment import FALL_MULTIPLE, FALL_S, WARM_AFTER_S, Deployment, DrawnClass
+from stairhatch.soak.process_times import ProcessTimes
 from stairhatch.soak.record import Kind, Observation, Record
+from stairhatch.soak.server_attempt import CLEAR_ENDS, UNCLEAR_ENDS, ServerAttempt
+from stairhatch.soak.violation import Rule, Violation
 
 SLACK_S = 0.05
 LATE_ANSWER_TOLERANCE_S = 0.5  # a response this long after the caller timeout breaks no rule
@@ -33,60 +34,9 @@
 NON_REPEATABLE_EFFECT = "non_idempotent"
 
 
-class Rule(StrEnum):
-    """Rule of the platform for softswitches; the values are printed and counted under these names."""
-
-    ANSWER = "one final answer"
-    SERVED = "served by a server"
-    RELEASED = "told of the end"
-    ONE_ATTEMPT = "one attempt out"
-    PAUSE = "pause after an unclear end"
-    ATTEMPTS = "attempts"
-    DUPLICATE = "duplicate effect"
-    DRAINING_SERVER = "draining server"
-    COLD_SERVER = "cold server"
-    POOL = "allowed servers"
-    ABANDONED = "who has left is gone"
-    REFUSED_IN_DRAIN = "refused in a drain"
-    PROCESS = "process"
-
-
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """Violation of a rule, at a time, by a call, a server or a process."""
-
-    rule: Rule
-    at: float
-    call: str  # the Call-ID; for some rules the server's instance id or the process name
-    description: str
-
-    def line(self, started_at: float) -> str:
-        """Return the violation as one line of text, with the seconds since the trial's start."""
-        return f"{self.rule}: at {self.at - started_at:.3f} {self.call} {self.description}"
-
-
-CLEAR_ENDS = frozenset({Kind.REJECTED, Kind.FAILED})
-UNCLEAR_ENDS = frozenset({Kind.SETUP_LOST, Kind.GIVEN_UP, Kind.LINK_ENDED})
 SERVER_OBSERVATION_KINDS = CLEAR_ENDS | UNCLEAR_ENDS | {Kind.SETUP_RECEIVED, Kind.ESTABLISHED, Kind.CALL_OVER}
 
 
-@dataclass(slots=True)
-class ProcessTimes:
-    """Times at which one process of a softswitch changed its state; infinite if it did not."""
-
-    started_at: float = -math.inf
-    ready_at: float = math.inf
-    terminated_at: float = math.inf
-    killed_at: float = math.inf
-    ended_at: float = math.inf
-    drains: list[tuple[float, float]] = field(default_factory=list)  # start and end of each drain
-
-    @property
-    def was_killed_unannounced(self) -> bool:
-        """Whether SIGKILL came without SIGTERM; the calls of such a process are excused."""
-        return self.killed_at < math.inf and self.terminated_at == math.inf
-
-
 class RuleChecker:
     """Checker of all rules on the record of one trial."""
 
@@ -104,7 +54,7 @@
             if seen.call:
                 self.by_call[seen.call].append(seen)
             else:
-                self._note_process_event(seen)
+                self.processes[seen.softswitch].observe(seen)
 
     def check(self) -> list[Violation]:
         """Check all rules; return the violations in order of time and count the cases of each rule."""
@@ -251,7 +201,7 @@
         call_class = self.deployment.call_class(sent.detail.split(" ")[0])
         abandoned = _first(observations, Kind.CALLER_LEFT)
         answer = _first(observations, Kind.FINAL_ANSWER)
-        attempt: _Attempt | None = None
+        attempt: ServerAttempt | None = None
         count = 0
         may_have_run = False
         for seen in observations:
@@ -270,7 +220,7 @@
                         call,
                         f"{seen.at - abandoned.at:.2f} s after its caller abandoned it",
                     )
-                attempt = _Attempt(seen.server)
+                attempt = ServerAttempt(seen.server)
                 self.cases[Rule.ABANDONED] += abandoned is not None
             elif (
                 attempt is not None
@@ -295,7 +245,7 @@
                 Rule.POOL, setup.at, call, f"{call_class.name} is not allowed at {setup.server}"
             )
 
-    def _check_retry(self, call: str, last: _Attempt | None, setup: Observation) -> None:
+    def _check_retry(self, call: str, last: ServerAttempt | None, setup: Observation) -> None:
         """Check that the last attempt has ended, and the retry pause if that end was unclear."""
         if last is None:
             return
@@ -403,24 +353,6 @@
 
     # ---- rules on softswitch processes ----
 
-    def _note_process_event(self, seen: Observation) -> None:
-        times = self.processes[seen.softswitch]
-        match seen.kind:
-            case Kind.PROCESS_STARTED:
-                times.started_at = seen.at
-            case Kind.PROCESS_READY:
-                times.ready_at = seen.at
-            case Kind.TERMINATE_SENT:
-                times.terminated_at = seen.at
-            case Kind.KILL_SENT:
-                times.killed_at = seen.at
-            case Kind.PROCESS_ENDED:
-                times.ended_at = seen.at
-            case Kind.DRAIN_ON:
-                times.drains.append((seen.at, math.inf))
-            case Kind.DRAIN_OFF if times.drains:
-                times.drains[-1] = (times.drains[-1][0], seen.at)
-
     def _check_processes(self) -> None:
         """Check that no process crashed, logged a fault, exceeded a limit, started slowly or needed SIGKILL.
 
@@ -443,21 +375,6 @@
                 self._add_violation(Rule.PROCESS, seen.at, seen.softswitch, seen.detail)
 
 
-@dataclass(slots=True)
-class _Attempt:
-    """Attempt of a call at one server, as that server observed it."""
-
-    server: str
-    ended_at: float | None = None
-    is_unclear: bool = False
-
-    def observe(self, seen: Observation) -> None:
-        """Record the first end of the attempt, and whether that end leaves the set-up's effect unclear."""
-        if self.ended_at is None and seen.kind in CLEAR_ENDS | UNCLEAR_ENDS | {Kind.CALL_OVER}:
-            self.ended_at = seen.at
-            self.is_unclear = seen.kind not in CLEAR_ENDS
-
-
 def _overload_bound(count: float) -> float:
     """Return how many set-ups a cold server withstands if the settings allow `count` on average."""
     factor = 3 if count < SMALL_SETUP_COUNT else 2
--- a/stairhatch/soak/trial.py
+++ b/stairhatch/soak/trial.py
@@ -23,9 +23,10 @@
 from stairhatch.soak.injector import TrialInjector
 from stairhatch.soak.record import Record
 from stairhatch.soak.roster_server import TrialContext
-from stairhatch.soak.rules import RuleChecker, Violation
+from stairhatch.soak.rules import RuleChecker
 from stairhatch.soak.schedule import SETTLE_S, Schedule
 from stairhatch.soak.softswitch import Softswitch
+from stairhatch.soak.violation import Violation
 from stairhatch.soak.world import World
 
 PROCESS_CHECK_INTERVAL_S = 0.25  # the interval between two checks of the processes
--- a/tests/test_soak_rules.py
+++ b/tests/test_soak_rules.py
@@ -9,7 +9,8 @@
 
 from stairhatch.soak.deployment import Deployment, DrawnClass, draw_deployment
 from stairhatch.soak.record import Kind, Observation, Record
-from stairhatch.soak.rules import Rule, RuleChecker
+from stairhatch.soak.rules import RuleChecker
+from stairhatch.soak.violation import Rule
 
 NON_REPEATABLE = DrawnClass("unsafe", "non_idempotent", 3.0, 1.0, 5.0, (0, 1))
 REPEATABLE = DrawnClass("safe", "read_like", 3.0, 1.0, 5.0, (0, 1))
