Show that a late refusal ends the next attempt at its server while that is out

A FINISH is matched by the call's id and the server alone, so the end of an attempt that was given up is taken for the end of the next attempt at the same server. No code of the project is changed.

--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,75 @@
+"""Case 6: the late refusal of an attempt that was given up ends the next attempt at the same server."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+import time
+from pathlib import Path
+
+from standins_2 import RECORD, TROUBLE, Caller, Coordinator, LineServer, main, running, wait_for
+
+TURNS_AWAY_S = 2.4  # BRIEF: set-ups are turned away once the wait passes 2,400 to 3,700 ms
+LONGEST_WAIT_S = 2.5
+GROWTH = 2.1  # 0.8 (its share of load, BRIEF: 72 to 87%) x 3.9 (slower, BRIEF: 2.1 to 3.9 times) - 1
+FIRST_CALL_AFTER_S, SECOND_CALL_AFTER_S = 0.4, 1.3  # since the server has become slow
+REPORT_S = 0.25  # BENCH: free lines are told every 100 to 600 ms; calls of other softswitches alter them
+ANSWER_S = 5.0
+
+
+def report_lines(server: LineServer) -> None:
+    """Report the server's free lines again and again, one more or less each time."""
+    while True:
+        time.sleep(REPORT_S)
+        server.lines = 40 + (server.lines + 1) % 2
+        server.report_lines()
+
+
+def watch(servers: list[LineServer], call_id: str) -> list[str]:
+    """Return a list to which each attempt of the call is added that comes while another one is out."""
+    found: list[str] = []
+
+    def setup_received(server: LineServer, tag: str) -> None:
+        if tag != call_id:
+            return
+        for other in servers:
+            for since in other.out.get(tag, ()):
+                out = f"one is out at {other.name} since {since:.3f}"
+                found.append(f"an attempt of {tag} comes to {server.name} while {out}")
+
+    for server in servers:
+        server.on_setup = setup_received
+    return found
+
+
+def case() -> str:
+    """Play the case; return how the rule was broken, or an empty text."""
+    servers = [LineServer(f"s-{cell}", cell) for cell in range(3)]
+    slow = servers[0]
+    coordinator = Coordinator(*(each.entry() for each in servers))
+    with running(coordinator) as softswitch:
+        for server in servers:
+            threading.Thread(target=report_lines, args=(server,), daemon=True).start()
+        caller = Caller(softswitch.port)
+        first = caller.set_up(dest=0)
+        wait_for(lambda: caller.status(first), ANSWER_S, "the first call stands")
+        slow_since = RECORD.now()
+        if TROUBLE:
+            RECORD.note(slow.name, "is 3.9 times slower from now on")
+            slow.growth, slow.longest_wait_s, slow.turns_away_s = GROWTH, LONGEST_WAIT_S, TURNS_AWAY_S
+            slow.slow_since = slow_since
+        time.sleep(FIRST_CALL_AFTER_S)
+        impatient = caller.set_up(within_ms=700, dest=0)
+        wait_for(lambda: caller.status(impatient), ANSWER_S, "the impatient caller has an answer")
+        time.sleep(max(0.0, slow_since + SECOND_CALL_AFTER_S - RECORD.now()))
+        call_id = secrets.token_hex(8)
+        found = watch(servers, call_id)
+        caller.set_up(within_ms=3500, dest=0, call_id=call_id)
+        wait_for(lambda: caller.status(call_id), ANSWER_S, "the call has an answer")
+        time.sleep(2.0)
+        softswitch.note_log(call_id)
+    return "; ".join(found)
+
+
+if __name__ == "__main__":
+    main(case, Path(__file__).resolve().parent)
