Tell a late response to a given-up attempt from one to the attempt in progress

Cause: a FINISH or STARTED was matched by call and server alone. The refusal of attempt 1, given up 1.8 s before, ended attempt 2 at the same server. Evidence: s-0 looks at attempt 1 and writes the refusal at 5.56 s, the log says attempt_ended attempt=2 outcome=rejected in that moment, and s-0 looks at attempt 2 only at 6.81 s.

Change: a call keeps its set-ups that were released without an answer, with the connection of each. A response on such a connection may be theirs (response_matching, log event late_response). If the present attempt is on another connection, it is left alone; if on the same, after a refusal it is released at the server and retried after the retry pause.

--- a/stairhatch/conformance/in_process.py
+++ b/stairhatch/conformance/in_process.py
@@ -18,7 +18,8 @@
 from stairhatch.node.call_manager import CallManager
 from stairhatch.node.calls import Attempt, RosterServer, ServerRecord
 from stairhatch.node.counters import Counters
-from stairhatch.overload.events import Availability, LoadReport
+from stairhatch.node.server_responses import CallRelease
+from stairhatch.overload.events import Availability
 from stairhatch.overload.settings import CallClass, SafetyLimits, Settings
 from stairhatch.sip.config import NumberPrefix, SipConfig, SipListener
 from stairhatch.sip.frontend import SipFrontend
@@ -111,7 +112,7 @@
                 case ReplyVerb.STARTED:
                     responses.call_established(server, ident, reply.description)
                 case ReplyVerb.FINISH:
-                    responses.call_released(server, ident, reply.cause, "", LoadReport())
+                    responses.call_released(server, ident, CallRelease(reply.cause))
 
         return callback
 
--- a/stairhatch/node/attempts.py
+++ b/stairhatch/node/attempts.py
@@ -12,7 +12,14 @@
 from dataclasses import dataclass
 from functools import partial
 
-from stairhatch.node.calls import Attempt, CallRegistry, CallState, ReleaseCause, RosterServer
+from stairhatch.node.calls import (
+    Attempt,
+    CallRegistry,
+    CallState,
+    ReleaseCause,
+    RosterServer,
+    UnansweredSetup,
+)
 from stairhatch.node.context import NodeContext
 from stairhatch.node.event_dispatcher import EventDispatcher
 from stairhatch.node.final_answers import FinalAnswers
@@ -139,19 +146,43 @@
         A set-up that has not been written is never sent; its outcome is UNREACHABLE instead of TIMED_OUT.
         """
         if attempt.written:
-            ident = attempt.call.request.ident
-            self.servers.pool.send_release(attempt.server, ident, ReleaseCause.NORMAL_CLEARING)
+            self._release_at_server(attempt)
         elif outcome is AttemptOutcome.TIMED_OUT:
             outcome = AttemptOutcome.UNREACHABLE
         self.end(attempt, outcome, NO_LOAD)
 
-    def end(self, attempt: Attempt, outcome: AttemptOutcome, report: LoadReport, note: str = "") -> None:
-        """End an attempt and report its outcome to the overload control. `note` is the server's text."""
+    def withdraw(self, attempt: Attempt, outcome: AttemptOutcome, report: LoadReport, note: str = "") -> None:
+        """End an attempt with a rejection that may belong to an earlier attempt at the same server.
+
+        This one may still be in progress there, so it is released, and the retry pause precedes the next.
+        """
+        self._release_at_server(attempt)
+        self.end(attempt, outcome, report, note, withdrawn=True)
+
+    def _release_at_server(self, attempt: Attempt) -> None:
+        """Release a written attempt at its server, which may answer it all the same."""
+        ident = attempt.call.request.ident
+        self.servers.pool.send_release(attempt.server, ident, ReleaseCause.NORMAL_CLEARING)
+        attempt.call.unanswered_setups.append(UnansweredSetup(attempt.server, attempt.connection_id))
+
+    def end(
+        self,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        report: LoadReport,
+        note: str = "",
+        withdrawn: bool = False,
+    ) -> None:
+        """End an attempt and report its outcome to the overload control.
+
+        `note` is the server's text. `withdrawn` says that the attempt was released at its server although the
+        server has reported a clear outcome.
+        """
         now = self.context.clock()
         call = attempt.call
         attempt.ended = True
         call.attempt = None
-        if outcome in UNCLEAR_OUTCOMES and attempt.written:
+        if withdrawn or (outcome in UNCLEAR_OUTCOMES and attempt.written):
             call.pause_until = now + self.context.settings.safety.retry_pause_s + PAUSE_MARGIN_S
         self.context.counters.add("outcome_" + outcome.value.replace(" ", "_"))
         if self.context.tracing:
@@ -162,6 +193,7 @@
                 outcome=outcome.value,
                 written=attempt.written,
                 note=note,
+                withdrawn=withdrawn,
             )
         if call.caller_disconnected and call.state is CallState.OFFERED:
             self.answers.give_without_decision(call)
@@ -176,6 +208,7 @@
                 destination_busy=outcome is AttemptOutcome.ERROR and note == "lines_busy",
                 no_free_line=outcome in (AttemptOutcome.REJECTED, AttemptOutcome.NOT_SENT)
                 and note == "no_circuit",
+                withdrawn=withdrawn,
             )
         )
 
--- a/stairhatch/node/calls.py
+++ b/stairhatch/node/calls.py
@@ -8,7 +8,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from itertools import count
 from typing import NamedTuple, Protocol
@@ -18,6 +18,7 @@
 
 TERMINATED_KEPT_S = 40.0  # the id of a terminated call is kept this long to recognize late messages
 MAX_TERMINATED_KEPT = 20_000  # ids of terminated calls
+NO_CONNECTION = 0  # the connection id of set-ups and responses in a driver without server connections
 
 
 class ReleaseCause(IntEnum):
@@ -97,6 +98,13 @@
     dial_attempted: bool = False  # a connection was established or has failed; set by the server pool
 
 
+class UnansweredSetup(NamedTuple):
+    """A set-up that was written and released without an answer; the server may answer it all the same."""
+
+    server: RosterServer
+    connection_id: int
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class Call:
     """State of a call from its offer to its termination; times are the clock's, in seconds."""
@@ -112,6 +120,7 @@
     pause_until: float = 0.0  # time before which no attempt may be sent
     established_at: float = 0.0
     caller_disconnected: bool = False  # the caller's connection has ended: no further attempt is made
+    unanswered_setups: list[UnansweredSetup] = field(default_factory=list)  # oldest first
 
     def is_retry_safe(self) -> bool:
         """Whether a caller retry cannot set the call up twice: no attempt yet, or an idempotent class."""
@@ -129,6 +138,7 @@
     deadline: float
     written: bool = False
     written_at: float = 0.0
+    connection_id: int = NO_CONNECTION  # of the server connection that the set-up was written on
     remaining_ms: int = 0  # from `written_at` until the deadline
     ended: bool = False
 
--- a/stairhatch/node/connection_liveness.py
+++ b/stairhatch/node/connection_liveness.py
@@ -9,11 +9,15 @@
 
 import math
 from dataclasses import dataclass
+from itertools import count
+
+from stairhatch.node.calls import NO_CONNECTION
 
 RESPONSE_TIMEOUT_S = 0.35  # a connection silent for longer with a pending set-up is suspect
 LONGEST_SILENCE_S = 1.5  # minimum silence that makes a connection with established calls suspect
 LONGEST_SILENCE_GAPS = 3.0  # the silence must also exceed this many mean gaps between load reports
 LEAST_LOAD_REPORTS = 2  # the mean gap is computed only from more reports than this
+CONNECTION_IDS = count(NO_CONNECTION + 1)
 FIRST_BACKOFF_S, LONGEST_BACKOFF_S = 1.0, 16.0  # between two suspicions of connections to one server
 
 
@@ -22,6 +26,7 @@
     """The times at which a connection was opened, written to and read from, with its suspicion backoff."""
 
     connected_at: float = math.inf  # inf: not connected
+    connection_id: int = NO_CONNECTION  # a new one each time the connection comes up
     last_received_at: float = -math.inf
     response_due_since: float = -math.inf  # first set-up written after the last activity, pending or not
     load_reports: int = 0  # number of unsolicited load reports on this connection
@@ -41,6 +46,7 @@
     def connection_made(self, now: float) -> None:
         """Reset the state for a connection that has come up at `now`."""
         self.connected_at = now
+        self.connection_id = next(CONNECTION_IDS)
         self.last_received_at, self.load_reports = -math.inf, 0
 
     def connection_lost(self) -> None:
--- a/stairhatch/node/send_queue.py
+++ b/stairhatch/node/send_queue.py
@@ -188,6 +188,7 @@
         if liveness.response_due_since <= liveness.last_activity_at:
             liveness.response_due_since = call_manager.clock()
         self.pending_setups[request.ident] = attempt
+        attempt.connection_id = liveness.connection_id
         return render_setup(
             request.ident,
             request.call_class.name,
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -26,7 +26,7 @@
     render_echo_reply,
     render_release,
 )
-from stairhatch.node.server_responses import LossReason
+from stairhatch.node.server_responses import CallRelease, LossReason
 from stairhatch.overload.events import Availability
 
 DRAIN_TIMEOUT_S = 10.0  # after it a connection to a server that is gone is closed, even with pending set-ups
@@ -334,6 +334,7 @@
     def _message_received(self, message: ServerMessage) -> None:
         call_manager, verb, call_id = self.pool.call_manager, message.verb, message.call_id
         responses, report = call_manager.responses, message.load_report
+        connection_id = self.liveness.connection_id
         call_manager.counters.add(RECEIVED_COUNTERS.get(verb, "got_other_verb"))
         is_load_report = verb == Verb.LOAD
         self.liveness.message_received(call_manager.clock(), is_load_report)
@@ -342,7 +343,7 @@
             case Verb.STARTED:
                 responses.load_reported(self.server, report)
                 self.pending_setups.pop(call_id, None)
-                responses.call_established(self.server, call_id, message.description)
+                responses.call_established(self.server, call_id, message.description, connection_id)
                 if call_manager.calls.is_established(call_id):
                     self.established_calls.add(call_id)
             case Verb.PENDING:
@@ -351,7 +352,8 @@
             case Verb.FINISH:
                 self.pending_setups.pop(call_id, None)
                 self.pool.failures.release_received(self, call_id, message.cause)
-                responses.call_released(self.server, call_id, message.cause, message.note, report)
+                release = CallRelease(message.cause, message.note, report)
+                responses.call_released(self.server, call_id, release, connection_id)
                 for each in self.pool.connections_to(self.server):
                     each.established_calls.discard(call_id)
             case Verb.LOAD:
--- a/stairhatch/node/server_responses.py
+++ b/stairhatch/node/server_responses.py
@@ -8,12 +8,22 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import NamedTuple
 
 from stairhatch.node.attempts import AttemptManager
-from stairhatch.node.calls import Attempt, Call, CallRegistry, CallState, ReleaseCause, RosterServer
+from stairhatch.node.calls import (
+    NO_CONNECTION,
+    Attempt,
+    Call,
+    CallRegistry,
+    CallState,
+    ReleaseCause,
+    RosterServer,
+)
 from stairhatch.node.context import NodeContext
 from stairhatch.node.event_dispatcher import EventDispatcher
 from stairhatch.node.final_answers import FinalAnswers
+from stairhatch.node.response_matching import ResponseOrigin, are_same_process, match_response
 from stairhatch.node.server_registry import ServerRegistry
 from stairhatch.overload.actions import FailCall
 from stairhatch.overload.events import (
@@ -44,6 +54,14 @@
 }
 
 
+class CallRelease(NamedTuple):
+    """A server's rejection of a set-up or release of a call, by any Q.850 cause; `note` is its text."""
+
+    cause: int
+    note: str = ""
+    report: LoadReport = NO_LOAD
+
+
 @dataclass(eq=False, repr=False, kw_only=True)
 class ServerResponses:
     """The handler of roster servers' responses. A `cause` is any Q.850 cause, in `ReleaseCause` or not."""
@@ -65,13 +83,18 @@
         if attempt.server is server and attempt.written:
             call.caller_session.progressing()
 
-    def call_established(self, server: RosterServer, ident: str, description: str) -> None:
+    def call_established(
+        self, server: RosterServer, ident: str, description: str, connection_id: int = NO_CONNECTION
+    ) -> None:
         """Establish a call that a roster server has accepted.
 
         A call that is no longer pending at this server, or whose server is gone, is released there instead.
+        The answer to an attempt that was given up is dropped while a later attempt is in progress at the same
+        server on another connection: the release of the earlier attempt was sent before the later set-up.
         """
         context = self.context
         call = self.calls.by_ident.get(ident)
+        origin = self._match(call, server, connection_id)
         attempt = call.attempt if call is not None else None
         if call is None and not self.calls.was_terminated(ident):
             context.counters.add("answers_of_unknown_calls")  # not set up here: nothing to release
@@ -82,7 +105,7 @@
                 context.log("late_answer", call=ident, server=server.record.instance)
             self.servers.pool.send_release(server, ident, ReleaseCause.NORMAL_CLEARING)
             return
-        if call.state is not CallState.OFFERED:
+        if call.state is not CallState.OFFERED or origin is ResponseOrigin.EARLIER:
             return
         if server.record.availability is Availability.GONE:
             context.counters.add("answers_of_gone_servers")
@@ -98,27 +121,53 @@
         self.dispatcher.dispatch(CallEstablished(call.number, server.id, now - attempt.started_at))
 
     def call_released(
-        self, server: RosterServer, ident: str, cause: int, note: str, report: LoadReport
+        self,
+        server: RosterServer,
+        ident: str,
+        release: CallRelease,
+        connection_id: int = NO_CONNECTION,
     ) -> None:
         """Handle a server's rejection of a set-up or its release of a call.
 
         The message may arrive on the connection of another instance id that is listed at the same address:
         both ids denote one process.
         """
+        cause, note, report = release
         call = self.calls.by_ident.get(ident)
         attempt = call.attempt if call is not None else None
-        if call is None or attempt is None or not attempt.written or not _is_same(attempt.server, server):
+        origin = self._match(call, server, connection_id)
+        if call is None or attempt is None or not _is_written_at(attempt, server):
             self.load_reported(server, report)
             if call is None:
                 self._unknown_released(ident, cause)
             return
-        if call.state is CallState.ESTABLISHED:
+        is_established = call.state is CallState.ESTABLISHED
+        if origin is ResponseOrigin.EARLIER and (not is_established or cause in OUTCOMES):
+            self.load_reported(server, report)
+        elif is_established:
             self._terminate(call, attempt, cause, report)
         elif cause == ReleaseCause.NORMAL_CLEARING:
-            self._terminate_unanswered(call, attempt, report)
+            self._terminate_unanswered(call, attempt, report, origin)
         else:
             outcome = OUTCOMES.get(cause, AttemptOutcome.RESET)
-            self.attempts.end(attempt, outcome, report, note)
+            if origin is ResponseOrigin.AMBIGUOUS:
+                self.attempts.withdraw(attempt, outcome, report, note)
+            else:
+                self.attempts.end(attempt, outcome, report, note)
+
+    def _match(self, call: Call | None, server: RosterServer, connection_id: int) -> ResponseOrigin:
+        """Match a response to an attempt of its call; count and log one that may be an earlier attempt's."""
+        if call is None or not call.unanswered_setups:
+            return ResponseOrigin.CURRENT
+        origin = match_response(call, server, connection_id)
+        if origin is not ResponseOrigin.CURRENT:
+            self.context.counters.add(f"responses_{origin.value}")
+            if self.context.tracing:
+                instance = server.record.instance
+                self.context.log(
+                    "late_response", call=call.request.ident, server=instance, origin=origin.value
+                )
+        return origin
 
     def load_reported(self, server: RosterServer, report: LoadReport) -> None:
         """Dispatch a roster server's load report, unless it is empty."""
@@ -156,7 +205,9 @@
         for listener in self.unknown_release_listeners:
             listener(ident, cause)
 
-    def _terminate_unanswered(self, call: Call, attempt: Attempt, report: LoadReport) -> None:
+    def _terminate_unanswered(
+        self, call: Call, attempt: Attempt, report: LoadReport, origin: ResponseOrigin
+    ) -> None:
         """Fail a call that was established and has ended at the server before its answer was received.
 
         The call is not set up a second time, since it has already taken place; the caller gets a final
@@ -168,7 +219,10 @@
             self.context.log("call_released", call=call.request.ident, side="server", cause=cause)
         call.attempt = None
         self.answers.give(call, FailCall(call.number))
-        self.attempts.end(attempt, AttemptOutcome.RESET, report)
+        if origin is ResponseOrigin.AMBIGUOUS:
+            self.attempts.withdraw(attempt, AttemptOutcome.RESET, report)
+        else:
+            self.attempts.end(attempt, AttemptOutcome.RESET, report)
 
     def _terminate(self, call: Call, attempt: Attempt, cause: int, report: LoadReport) -> None:
         """Release an established call at its caller after the roster server has ended it."""
@@ -182,6 +236,5 @@
         self.attempts.end(attempt, outcome, report)
 
 
-def _is_same(one: RosterServer, other: RosterServer) -> bool:
-    """Return whether two records denote one process: a replaced instance shares its address for a while."""
-    return one is other or one.record.address == other.record.address
+def _is_written_at(attempt: Attempt, server: RosterServer) -> bool:
+    return attempt.written and are_same_process(attempt.server, server)
--- a/stairhatch/overload/controller.py
+++ b/stairhatch/overload/controller.py
@@ -155,9 +155,9 @@
         self.pending.add(call)
 
     def _record_outcome(self, now: float, call: PendingCall, event: events.AttemptEnded) -> None:
-        if event.outcome.is_unclear:
+        if event.outcome.is_unclear or event.withdrawn:
             call.not_before = now + self.settings.safety.retry_pause_s  # rule 5: retry pause
-        if not event.outcome.never_ran:
+        if not event.outcome.never_ran or event.withdrawn:
             call.may_have_run = True
         if event.destination_busy:
             self.parts.backoffs.record_busy(now, call.called_number)
--- a/stairhatch/overload/events.py
+++ b/stairhatch/overload/events.py
@@ -130,6 +130,7 @@
     retry_after_s: float | None = None  # the delay requested in the server's rejection
     destination_busy: bool = False  # all lines of the called number are busy
     no_free_line: bool = False  # the set-up was rejected for lack of a free line, not of processor time
+    withdrawn: bool = False  # released at the server, since the outcome may be that of an earlier attempt
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/tests/support/in_process_node.py
+++ b/tests/support/in_process_node.py
@@ -10,7 +10,7 @@
 from stairhatch.node.call_manager import CallManager
 from stairhatch.node.calls import Attempt, ServerRecord
 from stairhatch.node.counters import Counters
-from stairhatch.overload.events import Availability, LoadReport
+from stairhatch.overload.events import Availability
 from stairhatch.settings.parser import settings_from_object
 from stairhatch.sip.config import NumberPrefix, SipConfig, SipListener
 from stairhatch.sip.frontend import SipFrontend
@@ -89,11 +89,6 @@
         attempt = self.written[-1]
         self.call_manager.responses.call_established(attempt.server, attempt.call.request.ident, "v=0 æ")
 
-    @staticmethod
-    def empty_report() -> LoadReport:
-        """Return a load report without any values."""
-        return LoadReport()
-
     def run(self, seconds: float) -> None:
         """Advance the clock by a time in seconds, and run each due timer at its time."""
         end = self.now + seconds
--- a/tests/test_call_manager.py
+++ b/tests/test_call_manager.py
@@ -13,8 +13,9 @@
 from stairhatch.node.platform_frontend import PlatformFrontend
 from stairhatch.node.readiness import RELEASE_PATH_S
 from stairhatch.node.server_pool import ServerConnectionPool
+from stairhatch.node.server_responses import CallRelease
 from stairhatch.overload.actions import SendSetup
-from stairhatch.overload.events import Availability, LoadReport, TimerExpired
+from stairhatch.overload.events import Availability, TimerExpired
 from stairhatch.settings.parser import settings_from_object
 
 from .support.in_process_node import InProcessNode
@@ -39,7 +40,7 @@
     "abandoned": lambda node, call: node.call_manager.abandon(call),
     "the process ends": lambda node, _call: node.call_manager.answer_pending(),
     "released before it was established": lambda node, _call: node.call_manager.responses.call_released(
-        node.call_manager.servers.by_id[1], IDENT, 16, "", LoadReport()
+        node.call_manager.servers.by_id[1], IDENT, CallRelease(16)
     ),
     "its time is up": lambda node, _call: node.run(3.5),
 }
@@ -74,7 +75,7 @@
     node = InProcessNode()
     call, caller = offer_call(node)
     node.call_manager.responses.call_released(
-        node.call_manager.servers.by_id[1], IDENT, 34, "", LoadReport()
+        node.call_manager.servers.by_id[1], IDENT, CallRelease(34)
     )  # the server is full: the call is pending for a retry
     node.call_manager.controller.pending.remove(call.number)
     node.call_manager.attempts.start(SendSetup(call.number, 99))
@@ -101,7 +102,7 @@
     node.call_manager.readiness.drain(False)
     node.call_manager.readiness.drain(True)
     assert node.call_manager.readiness.keeps_release_path()
-    node.call_manager.responses.call_released(node.call_manager.servers.by_id[1], IDENT, 16, "", LoadReport())
+    node.call_manager.responses.call_released(node.call_manager.servers.by_id[1], IDENT, CallRelease(16))
     assert not node.call_manager.readiness.keeps_release_path(), "no call is established"
 
 
--- a/tests/test_caller_output.py
+++ b/tests/test_caller_output.py
@@ -11,6 +11,7 @@
 from stairhatch.node.caller_output import MAX_UNSENT_BYTES
 from stairhatch.node.platform_connection import PlatformConnection
 from stairhatch.node.platform_frontend import PlatformFrontend
+from stairhatch.node.server_responses import CallRelease
 
 from .support.call_ids import next_call_id
 from .support.in_process_node import InProcessNode
@@ -39,7 +40,7 @@
         server = self.node.call_manager.servers.by_id[1]
         idents = [next_call_id() for _ in range(count)]
         for ident in idents:
-            self.node.call_manager.responses.call_released(server, ident, 16, "", self.node.empty_report())
+            self.node.call_manager.responses.call_released(server, ident, CallRelease(16))
         return idents
 
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -12,6 +12,7 @@
 )
 from stairhatch.node.platform_frontend import CALLER_DETECTION_DELAY_S, PlatformFrontend
 from stairhatch.node.readiness import REJECT_AFTER_S, RELEASE_PATH_S
+from stairhatch.node.server_responses import CallRelease
 
 from .support.accepted_connections import listener_with_connections, take_statuses
 from .support.call_ids import next_call_id
@@ -139,7 +140,7 @@
         assert not connection.is_idle(), "the call on it is still established"
         connection.receive_data(platform_invite(new := next_call_id()))
         assert take_statuses(connection, new) == [503]
-    node.call_manager.responses.call_released(node.written[-1].server, ident, 16, "", node.empty_report())
+    node.call_manager.responses.call_released(node.written[-1].server, ident, CallRelease(16))
     assert take_statuses(second, ident) == ["BYE"]
     assert not second.is_idle(), "the caller has not acknowledged the BYE"
     second.receive_data(
@@ -190,9 +191,7 @@
     for connection in (first, second):
         connection.close_when_idle()
         connection.connection_lost()
-    node.call_manager.responses.call_released(
-        node.call_manager.servers.by_id[1], ident, 16, "", node.empty_report()
-    )
+    node.call_manager.responses.call_released(node.call_manager.servers.by_id[1], ident, CallRelease(16))
     node.run(120.0)
     health_checks = frontend.connect()
     health_checks.receive_data(
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -5,6 +5,7 @@
 import pytest
 
 from stairhatch.node.platform_frontend import PlatformFrontend
+from stairhatch.node.server_responses import CallRelease
 
 from .support.call_ids import next_call_id
 from .support.in_process_node import InProcessNode
@@ -91,7 +92,7 @@
     not_reading, ident = frontend.connect(), next_call_id()
     not_reading.receive_data(platform_invite(ident, answer_within_ms="4000"))
     node.establish()
-    node.call_manager.responses.call_released(node.written[-1].server, ident, 16, "", node.empty_report())
+    node.call_manager.responses.call_released(node.written[-1].server, ident, CallRelease(16))
     node.run(3.0)
     assert not_reading.data_to_send().count(b"BYE sip:") == 4
     late = frontend.connect()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -17,6 +17,7 @@
 from stairhatch.node.call_classes import FORMER_CLASS_S
 from stairhatch.node.io.network import Network
 from stairhatch.node.platform_frontend import PlatformFrontend
+from stairhatch.node.server_responses import CallRelease
 from stairhatch.node.service_discovery import ServiceDiscoveryClient
 from stairhatch.overload.controller import Controller
 from stairhatch.settings.parser import settings_from_object
@@ -188,7 +189,7 @@
     server = node.call_manager.servers.by_id[1]
     for _ in range(3):  # resets: the new call fails, since it must not be repeated; the old call is retried
         for ident in (old, new):
-            node.call_manager.responses.call_released(server, ident, 41, "", node.empty_report())
+            node.call_manager.responses.call_released(server, ident, CallRelease(41))
         node.run(2.0)
     assert take_statuses(connection, new) == [500]
     assert take_statuses(connection, old) == []
--- a/tests/test_sip_frontend.py
+++ b/tests/test_sip_frontend.py
@@ -6,15 +6,13 @@
 
 from stairhatch.node import sip_message as sip
 from stairhatch.node import sip_parser
-from stairhatch.overload.events import LoadReport
+from stairhatch.node.server_responses import CallRelease
 
 from .support.in_process_node import InProcessNode
 from .support.recording_flow import RecordingFlow
 from .support.sip_layers import digest_authenticator
 from .support.sip_messages import sip_headers
 
-REPORT = LoadReport()
-
 
 @pytest.fixture(params=[False, True], ids=["udp", "tcp"])
 def flow(request):
@@ -182,7 +180,7 @@
     flow.request("ACK", to=f"<sip:7@net>;tag={flow.to_tag()}")
     flow.alive = False
     attempt = node.written[0]
-    node.call_manager.responses.call_released(attempt.server, attempt.call.request.ident, 16, "", REPORT)
+    node.call_manager.responses.call_released(attempt.server, attempt.call.request.ident, CallRelease(16))
     if transport:
         data, peer = dialed_connections[0].data_to_send(), dialed_connections[0].peer
     else:
@@ -211,7 +209,9 @@
     """If the BYE were lost, the caller would stay in the released call (timers E and F)."""
     establish_call(flow)
     attempt = flow.node.written[0]
-    flow.node.call_manager.responses.call_released(attempt.server, attempt.call.request.ident, 41, "", REPORT)
+    flow.node.call_manager.responses.call_released(
+        attempt.server, attempt.call.request.ident, CallRelease(41)
+    )
     flow.node.run(2.0)
     byes = [m for m in flow.sent if m.method == "BYE"]
     assert len(byes) == (1 if flow.reliable else 3)
@@ -316,7 +316,7 @@
     flow.request("ACK", to=f"<sip:7@net>;tag={flow.to_tag()}")
     flow.alive = False
     attempt = node.written[0]
-    node.call_manager.responses.call_released(attempt.server, attempt.call.request.ident, 16, "", REPORT)
+    node.call_manager.responses.call_released(attempt.server, attempt.call.request.ident, CallRelease(16))
     assert node.frontend.flows.ports[0].output[0][1] == flow.peer
 
 
@@ -343,9 +343,7 @@
     node.establish()
     flow.request("ACK", to=f"<sip:7@net>;tag={flow.to_tag()}")
     attempt = node.written[0]
-    node.call_manager.responses.call_released(
-        attempt.server, attempt.call.request.ident, 16, "", node.empty_report()
-    )
+    node.call_manager.responses.call_released(attempt.server, attempt.call.request.ident, CallRelease(16))
     assert flow.sent[-1].method == "BYE"
     flow.alive = False
     node.frontend.flow_lost(flow)
--- a/tests/test_sip_large_requests.py
+++ b/tests/test_sip_large_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from stairhatch.node.server_responses import CallRelease
+
 from .support.in_process_node import InProcessNode
 from .support.recording_flow import RecordingFlow
 
@@ -16,9 +18,7 @@
     node.establish()
     flow.request("ACK", to=f"<sip:7@net>;tag={flow.to_tag()}")
     attempt = node.written[0]
-    node.call_manager.responses.call_released(
-        attempt.server, attempt.call.request.ident, 16, "", node.empty_report()
-    )
+    node.call_manager.responses.call_released(attempt.server, attempt.call.request.ident, CallRelease(16))
     assert not node.frontend.flows.ports[0].output
     assert dialled[0].peer == ("127.0.0.1", 4100)
     assert dialled[0].data_to_send().startswith(b"BYE ")
