Do not repeat a release behind a later set-up of its call at the server

Cause: releases written lately are written again on the connection that takes over. The one that gave up attempt 1 was repeated behind the set-up of attempt 2 at the same server and ended that there. Evidence: START, FINISH 16, START on connection 2, FINISH 16 on connection 3, one give-up in the log; the server cuts the call as it looks at the last one, 20 ms after the 200.

Change: a release is not repeated once a later set-up of its call was written to that server; repeated ones precede what is queued.

--- a/stairhatch/node/calls.py
+++ b/stairhatch/node/calls.py
@@ -190,6 +190,12 @@
         call = self.by_ident.get(ident)
         return call is not None and call.state is CallState.ESTABLISHED
 
+    def has_written_setup_at(self, ident: str, server: RosterServer) -> bool:
+        """Whether the current attempt of the call with this id has been written to the server's process."""
+        call = self.by_ident.get(ident)
+        attempt = call.attempt if call is not None else None
+        return attempt is not None and attempt.written and are_same_process(attempt.server, server)
+
     def is_established_at(self, ident: str, server: RosterServer, before: float) -> bool:
         """Whether the call with this id was established at the server before a time, and still is."""
         call = self.by_ident.get(ident)
@@ -223,3 +229,8 @@
     if call.state is not CallState.ESTABLISHED or call.attempt is None:
         return False
     return call.attempt.server is server and call.established_at < before
+
+
+def are_same_process(one: RosterServer, other: RosterServer) -> bool:
+    """Return whether two records denote one process: a replaced instance shares its address for a while."""
+    return one is other or one.record.address == other.record.address
--- a/stairhatch/node/response_matching.py
+++ b/stairhatch/node/response_matching.py
@@ -10,7 +10,7 @@
 
 from enum import Enum
 
-from stairhatch.node.calls import Call, RosterServer
+from stairhatch.node.calls import Call, RosterServer, are_same_process
 
 
 class ResponseOrigin(Enum):
@@ -39,11 +39,6 @@
     return ResponseOrigin.AMBIGUOUS if is_possibly_current else ResponseOrigin.EARLIER
 
 
-def are_same_process(one: RosterServer, other: RosterServer) -> bool:
-    """Return whether two records denote one process: a replaced instance shares its address for a while."""
-    return one is other or one.record.address == other.record.address
-
-
 def _take_unanswered(call: Call, server: RosterServer, connection_id: int) -> bool:
     for setup in call.unanswered_setups:
         if setup.connection_id == connection_id and are_same_process(setup.server, server):
--- a/stairhatch/node/send_queue.py
+++ b/stairhatch/node/send_queue.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from stairhatch.node.call_manager import CallManager
-from stairhatch.node.calls import Attempt
+from stairhatch.node.calls import Attempt, RosterServer
 from stairhatch.node.connection_liveness import ConnectionLiveness
 from stairhatch.node.server_messages import render_setup
 
@@ -30,8 +30,9 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class PendingRelease:
-    """The rendered line of a release or of a set-up's cancellation, and how often it was written."""
+    """The release of a call or the cancellation of a set-up: its line, and how often it was written."""
 
+    call_id: str
     line: bytes
     writes: int = 0
 
@@ -105,14 +106,19 @@
         self.pending_setups.clear()
         return pending
 
-    def take_unconfirmed_releases(self) -> list[PendingRelease]:
-        """Remove the kept releases; return those that may not have reached the server and may be repeated."""
+    def take_unconfirmed_releases(self, server: RosterServer) -> list[PendingRelease]:
+        """Remove the kept releases; return those that may not have reached the server and may be repeated.
+
+        A release is not repeated behind a later set-up of its call, which it would end at the server.
+        """
         now = self._call_manager.clock()
         since = max(self._liveness.last_received_at - MAX_ARRIVAL_SKEW_S, now - RELEASE_RETENTION_S)
         found = [
             release
             for written_at, release in self._written_releases
-            if written_at >= since and release.writes < MAX_RELEASE_WRITES
+            if written_at >= since
+            and release.writes < MAX_RELEASE_WRITES
+            and not self._call_manager.calls.has_written_setup_at(release.call_id, server)
         ]
         self._written_releases.clear()
         return found
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -112,7 +112,7 @@
 
     def send_release(self, call_id: str, cause: int) -> None:
         """Queue the release of a call, or the cancellation of a set-up, with a Q.850 cause."""
-        self.send_queue.append(PendingRelease(render_release(call_id, cause)))
+        self.send_queue.append(PendingRelease(call_id, render_release(call_id, cause)))
         self.notify_writable()
 
     def forget_call(self, call_id: str) -> None:
@@ -207,9 +207,9 @@
         self.notify_writable()
 
     def hand_queue_to(self, successor: ServerConnection) -> None:
-        """Move the queued lines, and written releases that may be lost, to the replacing connection."""
+        """Move written releases that may be lost, and then the queued lines, to the replacing connection."""
+        successor.send_queue.extend(self.send_queue.take_unconfirmed_releases(self.server))
         successor.send_queue.extend(self.send_queue.take_all())
-        successor.send_queue.extend(self.send_queue.take_unconfirmed_releases())
         self.notify_writable()
 
     # ---- calls from the driver ----
@@ -267,7 +267,7 @@
         self.pool.failures.connection_lost(self)
         active = self.pool.active.get(self.server.id)
         self.server.connected = active is not None and active.liveness.is_connected
-        unconfirmed_releases = self.send_queue.take_unconfirmed_releases()
+        unconfirmed_releases = self.send_queue.take_unconfirmed_releases(self.server)
         if active is not None and self.server.record.availability is not Availability.GONE:
             active.send_queue.prepend(unconfirmed_releases)
             active.notify_writable()
--- a/stairhatch/node/server_responses.py
+++ b/stairhatch/node/server_responses.py
@@ -19,11 +19,12 @@
     CallState,
     ReleaseCause,
     RosterServer,
+    are_same_process,
 )
 from stairhatch.node.context import NodeContext
 from stairhatch.node.event_dispatcher import EventDispatcher
 from stairhatch.node.final_answers import FinalAnswers
-from stairhatch.node.response_matching import ResponseOrigin, are_same_process, match_response
+from stairhatch.node.response_matching import ResponseOrigin, match_response
 from stairhatch.node.server_registry import ServerRegistry
 from stairhatch.overload.actions import FailCall
 from stairhatch.overload.events import (
--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -110,3 +110,32 @@
     call.respond(call.active, ESTABLISHED)
     call.respond(old, NETWORK_CLEARING)
     assert call.server.has_call(call.ident)
+
+
+def test_a_release_is_not_repeated_behind_a_later_setup_of_its_call() -> None:
+    """Guards against a call that its caller holds, cut at the server by the repeated release of its first
+    attempt as another connection takes over.
+    """
+    call = CallInSecondAttempt()
+    call.start_second()
+    old = call.replace_connection()
+    assert call.take_verbs(call.active) == []
+    call.respond(old, ESTABLISHED)  # the answer of the second attempt, or of the first
+    old.connection_lost()
+    assert call.take_verbs(call.active) == []
+    assert call.server.has_call(call.ident)
+
+
+def test_a_release_is_repeated_before_a_queued_setup_of_its_call() -> None:
+    """Guards against a set-up that overtakes the repeated release of the attempt before it."""
+    call = CallInSecondAttempt()
+    call.node.run(RETRY_PAUSE_S + 0.1)  # the second attempt is queued
+    call.replace_connection()
+    assert call.take_verbs(call.active) == ["FINISH", "START"]
+
+
+def test_the_release_of_an_attempt_without_a_successor_is_repeated() -> None:
+    """Guards against a set-up that stays open at the server, as its release was lost with a connection."""
+    call = CallInSecondAttempt()
+    call.replace_connection()
+    assert call.take_verbs(call.active) == ["FINISH"]
