Open connections for the releases of calls whose set-up connection is dead

Cause: a server sends a release on the connection of the set-up and on the next that is opened. Once that connection was found dead, one more was opened and the calls set up on it were forgotten; each later release went into the dead connection, and no other was opened. Evidence: no server_connected after 3.7 s, the end at 9.4 s, no FINISH received, no call_lost.

Change: ReleaseRecovery keeps the established calls of dead connections and has a connection opened whenever none has come up for 6 s, until they are over. New event server_release_recovery, counter release_recoveries.

--- a/stairhatch/node/server_pool.py
+++ b/stairhatch/node/server_pool.py
@@ -17,6 +17,7 @@
 from stairhatch.node.calls import Attempt, RosterServer
 from stairhatch.node.failure_monitor import FailureMonitor
 from stairhatch.node.liveness_checker import MAX_SUPERSEDED, LivenessChecker
+from stairhatch.node.release_recovery import ReleaseRecovery
 from stairhatch.node.send_queue import MAX_ARRIVAL_SKEW_S
 from stairhatch.node.server_connection import MIN_SUPERSEDED_READ_S, ServerConnection
 from stairhatch.node.server_responses import LossReason
@@ -42,6 +43,7 @@
         call_manager.servers.pool = self
         self.failures = FailureMonitor(self)
         self.liveness_checker = LivenessChecker(self)
+        self.release_recovery = ReleaseRecovery(self)
 
     # ---- changes of the endpoint list ----
 
@@ -252,6 +254,7 @@
             instance = old.server.record.instance
             self.call_manager.counters.add("server_connections_dead")
             self.call_manager.log("server_connection_dead", server=instance, open=len(old.pending_setups))
+            self.release_recovery.connection_dead(old.server, old.established_calls)
             old.abort_as_dead()
             active = self.active.get(old.server.id)
             if active is not None:
