Release set-ups of a dead connection at the server before they are retried

Change: a set-up pending on a connection that is found dead is released on another connection, before the pause and the next attempt.

Test: test_a_setup_on_a_dead_connection_is_released_on_another_before_the_next fails without it. test_a_silently_cut_connection... asserted that only the established call was released, which is what changes; it now asserts a set-up, its releases and a set-up for the pending one, in this order, and no release of any other call. (Its first wording expected one release and failed: a release is repeated on each connection that takes over; amended.)

--- a/stairhatch/node/attempts.py
+++ b/stairhatch/node/attempts.py
@@ -135,10 +135,18 @@
         if not attempt.ended and not attempt.written:
             self.end(attempt, AttemptOutcome.NOT_SENT if reached else AttemptOutcome.UNREACHABLE, NO_LOAD)
 
-    def connection_lost(self, attempt: Attempt) -> None:
-        """End an attempt with RESET because the connection that its set-up was written on has ended."""
-        if not attempt.ended and attempt.call.state is CallState.OFFERED:
+    def connection_lost(self, attempt: Attempt, known_to_server: bool = True) -> None:
+        """End an attempt with RESET because the connection that its set-up was written on has ended.
+
+        The end of the connection gives the set-up up at the server. If the server does not learn of it, the
+        set-up is released on another connection.
+        """
+        if attempt.ended or attempt.call.state is not CallState.OFFERED:
+            return
+        if known_to_server:
             self.end(attempt, AttemptOutcome.RESET, NO_LOAD)
+        else:
+            self.give_up(attempt, AttemptOutcome.RESET)
 
     def give_up(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """End an attempt that has no answer yet; a set-up that has been written is released at the server.
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -95,6 +95,7 @@
         self.failure_logged = False
         self.malformed = False  # a line that cannot be parsed was received
         self.superseded_at = -math.inf
+        self.is_dead = False  # ended as another connection has shown it to be dead: the server may not know
         self.dead_check_pending = False  # a check is scheduled that ends this connection if it stays silent
         self.established_calls: set[str] = set()  # ids of calls set up here, where they are released
         self.send_queue = SendQueue(pool.call_manager, self.liveness)
@@ -193,6 +194,7 @@
         The server sends the releases of its calls again on the next connection that is opened.
         """
         self.established_calls.clear()
+        self.is_dead = True
         self.abort()
 
     # ---- replacement by another connection ----
@@ -218,7 +220,7 @@
         """Reset the state of the connection that has come up, and promote it if it is a standby."""
         call_manager = self.pool.call_manager
         self._receive_buffer.clear()
-        self.malformed = False
+        self.malformed = self.is_dead = False
         self.liveness.connection_made(call_manager.clock())
         self.established_calls.clear()
         self.server.connected, self.server.dial_attempted = True, True
@@ -282,7 +284,7 @@
             superseded=self.pool.is_superseded(self),
         )
         for attempt in reset_attempts:
-            call_manager.attempts.connection_lost(attempt)
+            call_manager.attempts.connection_lost(attempt, known_to_server=not self.is_dead)
 
     def _has_established_call(self) -> bool:
         return any(map(self.pool.call_manager.calls.is_established, self.established_calls))
--- a/tests/test_repeated_attempts.py
+++ b/tests/test_repeated_attempts.py
@@ -139,3 +139,15 @@
     call = CallInSecondAttempt()
     call.replace_connection()
     assert call.take_verbs(call.active) == ["FINISH"]
+
+
+def test_a_setup_on_a_dead_connection_is_released_on_another_before_the_next_attempt() -> None:
+    """Guards against a call that the server has set up and answered into a connection cut off silently."""
+    call = CallInSecondAttempt()
+    call.start_second()
+    dead = call.replace_connection()
+    dead.abort_as_dead()
+    dead.connection_lost()
+    assert call.take_verbs(call.active) == ["FINISH"]
+    call.node.run(RETRY_PAUSE_S + 0.1)
+    assert call.take_verbs(call.active) == ["START"]
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -64,7 +64,7 @@
 
 def test_a_silently_cut_connection_is_detected_and_its_setups_are_retried(start_deployment):
     """A connection that stays open but silent does not keep its set-ups, and releases written to it are
-    written again on the next connection.
+    written again on the next connection. Its set-ups are released there before they are retried.
     """
     program, _, (server,) = start_deployment(None)
     caller, established, pending = program.caller(), next_call_id(), next_call_id()
@@ -86,7 +86,11 @@
     wait_until(established_after_report)
     assert caller.final_statuses(pending) == [200]
     assert program.log_events("server_connection_dead")
-    assert {m["tag"] for m in server.messages("FINISH")} == {established}
+    assert {m["tag"] for m in server.messages("FINISH")} == {established, pending}
+    about_pending = [m["verb"] for _, m in server.received if m["tag"] == pending]
+    assert about_pending[:2] == ["START", "FINISH"]
+    assert set(about_pending[2:-1]) <= {"FINISH"}, "the release is repeated on each connection"
+    assert about_pending[-1] == "START"
     wait_until(lambda: len(server.connections) >= 3, "a connection on which the server repeats releases")
 
 
