--- a/benchmarks/scaling/softswitch_process.py
+++ b/benchmarks/scaling/softswitch_process.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Sequence
 from contextlib import ExitStack, suppress
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from types import TracebackType
 
@@ -61,12 +61,31 @@
     list_messages: float
 
 
+@dataclass(frozen=True, slots=True)
+class ProgramLimits:
+    """The platform's limits of the process; the fields are keys of its configuration."""
+
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+DEFAULT_LIMITS = ProgramLimits()
+
+
 class SoftswitchProcess:
     """A softswitch process with its emulators; a context manager that starts and ends them."""
 
-    def __init__(self, listed: int, program: Sequence[str] = PROGRAM) -> None:
+    def __init__(
+        self,
+        listed: int,
+        program: Sequence[str] = PROGRAM,
+        limits: ProgramLimits = DEFAULT_LIMITS,
+        servers_per_process: int = MAX_SERVERS_A_PROCESS,
+    ) -> None:
         self._listed = listed
         self._program = program
+        self._limits = limits
+        self._servers_per_process = servers_per_process
         self._resources = ExitStack()
         # Seconds from the start to the event `serving`; None: no such event within SERVING_TIMEOUT_S.
         self.startup_s: float | None = None
@@ -86,8 +105,8 @@
 
     def _start(self) -> None:
         counts = [
-            min(MAX_SERVERS_A_PROCESS, self._listed - first)
-            for first in range(0, self._listed, MAX_SERVERS_A_PROCESS)
+            min(self._servers_per_process, self._listed - first)
+            for first in range(0, self._listed, self._servers_per_process)
         ]
         self._servers = self._resources.enter_context(
             emulator_processes([RosterServers(count) for count in counts])
@@ -117,7 +136,7 @@
             "name": "n0",
             "listen": f"{HOST}:{self.address[1]}",
             "seed": "1",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, **asdict(self._limits)},
             "coordinator": f"{HOST}:{self._coordinator.start_message[1]}",
             "known": {"index": 0, "updates": []},
             "settings": complete_settings(settings_json(self._listed)),
