Hold callers' messages in little more memory than their bytes

Cause: a parsed head takes about 64 bytes for a field of 5. It was held while the body was incomplete, and with a pending set-up until its answer.

Change: an incomplete message is held as bytes; the platform's frontend keeps the headers it uses; a pending set-up holds rendered lines to copy; a stream that can't be used drops its bytes; lingering connections share a buffer.

--- a/stairhatch/node/io/reader.py
+++ b/stairhatch/node/io/reader.py
@@ -124,6 +124,7 @@
         """Read on `loop` into buffers of `pool`."""
         self._loop = loop
         self._pool = pool
+        self._discarded = bytearray(BUFFER_BYTES)  # for bytes that no protocol gets; shared by connections
 
     async def read(self, sock: socket.socket, protocol: ConnectionProtocol) -> bool:
         """Pass received bytes to the protocol until either side ends.
@@ -157,10 +158,11 @@
                 if protocol.reads_until_eof:
                     protocol.receive_data(memoryview(buffer)[:size])
 
-        buffer = self._pool.acquire()
+        buffer = self._pool.acquire() if protocol.reads_until_eof else self._discarded
         try:
             await asyncio.wait_for(discard(), LINGER_S)
         except TimeoutError:
             pass
         finally:
-            self._pool.release(buffer)
+            if buffer is not self._discarded:
+                self._pool.release(buffer)
--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -17,6 +17,7 @@
 from stairhatch.node.platform_request import (
     ALLOW,
     METHODS,
+    USED_HEADERS,
     UnusableRequestError,
     has_valid_call_headers,
     read_call_request,
@@ -34,18 +35,15 @@
     """Caller session of one set-up: sends the call manager's answers to the caller (`CallerSession`)."""
 
     connection: PlatformConnection
-    request: sip.SipMessage
+    call_id: str  # used by callers and servers alike
+    echo: bytes  # header lines of the set-up that its responses copy; rendered, as they take less memory
     call: Call | None = None
 
-    @property
-    def call_id(self) -> str:
-        """Call id, which callers and servers use alike."""
-        return self.request.get("call-id")
-
     def respond(self, status: int, extra: sip.Headers, body: bytes = b"") -> None:
         """Send the final response to the set-up; called once."""
         self.connection.pending.pop(self.call_id, None)
-        self.connection.respond(self.request, status, extra, body)
+        self.connection.respond_to(self.echo, status, extra, body)
+        self.echo = b""
         if status >= 300:
             self.connection.registry.calls.pop(self.call_id, None)
             self.call = None  # breaks the reference cycle: garbage collection paused a busy node for too long
@@ -135,7 +133,7 @@
         self._unusable_requests = 0
         self._peer_closed = False  # data received before may still be unread
         self._releases_sent: set[str] = set()  # call ids of unacknowledged releases sent on this connection
-        self._parser = sip_parser.StreamParser()
+        self._parser = sip_parser.StreamParser(kept_headers=USED_HEADERS)
         self._output = CallerOutput(
             self.call_manager.context, self.call_manager.timers, self._render_release, self._abort_as_unread
         )
@@ -197,6 +195,7 @@
             self.call_manager.log("malformed", side="caller", why=str(error))
             if error.partial is not None and error.partial.method not in ("", "ACK"):
                 self.respond(error.partial, error.status, [])
+            self._parser.discard()
             self._close_when_written()
 
     def data_to_send(self) -> bytes:
@@ -233,8 +232,12 @@
 
     def respond(self, request: sip.SipMessage, status: int, extra: sip.Headers, body: bytes = b"") -> None:
         """Queue a response to a request; `extra` are headers beyond those copied from the request."""
+        self.respond_to(sip.render_echo(request), status, extra, body)
+
+    def respond_to(self, echo: bytes, status: int, extra: sip.Headers, body: bytes = b"") -> None:
+        """Queue a response that begins with the rendered header lines `echo`."""
         self.call_manager.counters.add(f"sent_{status}")
-        response = sip.response(status, sip.echoed(request) + extra, body)
+        response = sip.response_to(echo, status, extra, body)
         self._output.append_response(response, is_blocked=self.writing)
         self.notify_writable()
 
@@ -387,8 +390,7 @@
             advice = [("come-back-ms", str(int(RETRY_AFTER_S * 1000)))]
             self.respond(message, 503, advice if call_manager.settings.may_send_retry_after else [])
             return
-        platform_call = PlatformCall(self, message)
-        message.body = b""  # freed: no longer needed
+        platform_call = PlatformCall(self, call_id, sip.render_echo(message))
         registry.calls[call_id] = self.pending[call_id] = platform_call
         call = call_manager.offer_call(request, platform_call)
         if call is None:
--- a/stairhatch/node/platform_request.py
+++ b/stairhatch/node/platform_request.py
@@ -18,6 +18,7 @@
 METHODS = ("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS", "NOTIFY")
 METHODS_WITHOUT_CALL = ("OPTIONS", "NOTIFY", "ACK")  # no Call-ID required
 SINGLE_HEADERS = frozenset(("call-id", "call-kind", "answer-within", "cseq", "routing-data"))
+USED_HEADERS = SINGLE_HEADERS | {"content-length", "repeat-mark", "reason", *sip.ECHOED_HEADERS}
 CALL_ID = re.compile(r"[0-9a-fA-F]{16}\Z")  # the call id, as used by callers and servers
 ANSWER_WITHIN_MS = re.compile(r"[0-9]{1,8}\Z")
 DECIMAL_NUMBER = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")
--- a/stairhatch/node/sip_message.py
+++ b/stairhatch/node/sip_message.py
@@ -149,21 +149,35 @@
     return written
 
 
-def _render(start_line: str, headers: Headers, body: bytes) -> bytes:
-    lines = [start_line]
-    lines += [f"{WRITTEN_NAMES.get(name) or _write_name(name)}: {value}" for name, value in headers]
-    lines.append(f"Content-Length: {len(body)}\r\n\r\n")
-    return "\r\n".join(lines).encode("utf-8", "surrogateescape") + body
+def render_headers(headers: Headers) -> bytes:
+    """Return the bytes of header lines."""
+    lines = [f"{WRITTEN_NAMES.get(name) or _write_name(name)}: {value}\r\n" for name, value in headers]
+    return "".join(lines).encode("utf-8", "surrogateescape")
+
+
+def _render(start_line: str, headers: bytes, body: bytes) -> bytes:
+    return b"%s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        start_line.encode("utf-8", "surrogateescape"),
+        headers,
+        len(body),
+        body,
+    )
 
 
 def request(method: str, uri: str, headers: Headers, body: bytes = b"") -> bytes:
     """Return the bytes of a request, with a Content-Length header added."""
-    return _render(f"{method} {uri} SIP/2.0", headers, body)
+    return _render(f"{method} {uri} SIP/2.0", render_headers(headers), body)
 
 
 def response(status: int, headers: Headers, body: bytes = b"") -> bytes:
     """Return the bytes of a response, with its reason phrase and a Content-Length header added."""
-    return _render(f"SIP/2.0 {status} {REASON_PHRASES.get(status, 'Unknown')}", headers, body)
+    return response_to(b"", status, headers, body)
+
+
+def response_to(echo: bytes, status: int, headers: Headers, body: bytes = b"") -> bytes:
+    """Return the bytes of a response that begins with rendered header lines, those that it copies."""
+    start_line = f"SIP/2.0 {status} {REASON_PHRASES.get(status, 'Unknown')}"
+    return _render(start_line, echo + render_headers(headers), body)
 
 
 def echoed(message: SipMessage) -> Headers:
@@ -171,6 +185,11 @@
     return [(name, value) for name, value in message.headers if name in ECHOED_HEADERS]
 
 
+def render_echo(message: SipMessage) -> bytes:
+    """Return the header lines that all responses to a request begin with (RFC 3261, section 8.2.6)."""
+    return render_headers(echoed(message))
+
+
 def called_number(key: str) -> int:
     """Return the called number for the overload control: the value of 16 hex digits, else 0."""
     try:
--- a/stairhatch/node/sip_parser.py
+++ b/stairhatch/node/sip_parser.py
@@ -17,6 +17,7 @@
 HEAD_END = b"\r\n\r\n"
 DECLARED_LENGTH = re.compile(rb"(?:\A|\n)(?:content-length|l)[ \t]*:[ \t]*(\d{1,7})[ \t]*(?=\r|\n|\Z)", re.I)
 TOKEN = re.compile(r"[A-Za-z0-9\-.!%*_+`'~]+\Z")
+HeaderNames = frozenset[str] | None  # full names in lower case; None: all
 COMPACT_NAMES = {  # RFC 3261, section 7.3.3, and the IANA registry of SIP header fields
     "a": "accept-contact",
     "b": "referred-by",
@@ -77,7 +78,7 @@
     return name
 
 
-def _read_lines(head: str) -> SipMessage:
+def _read_lines(head: str, kept: HeaderNames = None) -> SipMessage:
     """Parse the start line and the headers; folded lines are joined and compact names expanded.
 
     Raises SipError for a malformed header after parsing the others, so that the response can use them.
@@ -86,9 +87,10 @@
     message = _read_start_line(lines[0])
     headers = message.headers
     fault = ""
+    is_kept = True
     for line in lines[1:]:
         if line[:1] in (" ", "\t"):
-            if headers:
+            if headers and is_kept:
                 last_name, previous_value = headers[-1]
                 headers[-1] = (last_name, f"{previous_value} {line.strip()}".strip())
             continue
@@ -97,7 +99,9 @@
         if not colon or name is None:
             fault = fault or f"malformed header line {line[:40]!r}"
             continue
-        headers.append((name, value.strip()))
+        is_kept = kept is None or name in kept
+        if is_kept:
+            headers.append((name, value.strip()))
     if fault:
         raise SipError(400, fault, message)
     return message
@@ -120,15 +124,17 @@
     return message
 
 
-def _read_head(data: bytes) -> SipMessage:
+def _read_head(data: bytes, kept: HeaderNames = None) -> SipMessage:
     """Parse the head of a message. The head of another SIP version is parsed too, for the 505 response."""
     text = data.decode("utf-8", "surrogateescape")
     try:
-        return _read_lines(text)
+        return _read_lines(text, kept)
     except _VersionError as unsupported:
         first, _, rest = text.partition("\n")
         try:
-            partial = _read_lines(f"{unsupported.message.method} {unsupported.message.uri} SIP/2.0\r\n{rest}")
+            partial = _read_lines(
+                f"{unsupported.message.method} {unsupported.message.uri} SIP/2.0\r\n{rest}", kept
+            )
         except SipError as error:
             partial = error.partial or unsupported.message
         raise SipError(505, f"unsupported SIP version in {first.strip()[:60]!r}", partial) from None
@@ -181,13 +187,19 @@
     the error has `is_synchronized` set: it then skips the rest of the malformed message.
     """
 
-    def __init__(self, resynchronizes: bool = False) -> None:
-        """Start at the beginning of a stream; `resynchronizes` permits skipping malformed messages."""
+    def __init__(self, resynchronizes: bool = False, kept_headers: HeaderNames = None) -> None:
+        """Start at the beginning of a stream; `resynchronizes` permits skipping malformed messages.
+
+        Headers that are not in `kept_headers` are checked and left out of the messages. The parsed head of a
+        message takes many times the memory of its bytes if its headers are short, and the headers of a
+        set-up are held until it is answered.
+        """
         self.unanswered_keepalives = 0  # CRLF CRLF between messages, unanswered (RFC 5626, section 4.4.1)
         self._resynchronizes = resynchronizes
+        self._kept_headers = kept_headers
         self._data = bytearray()
-        self._message: SipMessage | None = None  # message whose head is parsed and whose body is incomplete
-        self._body_bytes = 0  # body length of `_message`
+        self._head = b""  # well-formed head of the message whose body is incomplete; empty: none
+        self._body_bytes = 0  # body length of that message
         self._searched_bytes = 0  # length of the start of `_data` that contains no end of a head
         self._skip_bytes = 0  # bytes of a malformed message that are still to be skipped
 
@@ -205,29 +217,42 @@
             passed = min(self._skip_bytes, len(self._data))
             del self._data[:passed]
             self._skip_bytes -= passed
-        if self._message is None and not self._next_head():
+        message = None
+        if not self._head and (message := self._next_head()) is None:
             return None
-        message = self._message
-        if message is None or len(self._data) < self._body_bytes:
+        if len(self._data) < self._body_bytes:
             return None
+        if message is None:
+            message = _read_head(self._head, self._kept_headers)
         message.body = bytes(self._data[: self._body_bytes])
         del self._data[: self._body_bytes]
-        self._message = None
+        self._head = b""
         return message
 
+    def discard(self) -> None:
+        """Drop all bytes of a stream that is not parsed any further."""
+        self._data = bytearray()
+        self._head = b""
+        self._skip_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are held for incomplete messages."""
+        return len(self._data) + len(self._head)
+
     @property
     def pending_request(self) -> SipMessage | None:
         """Message whose head has been received and whose body is incomplete; None if there is none."""
-        return self._message
+        return _read_head(self._head, self._kept_headers) if self._head else None
 
     def has_partial_message(self) -> bool:
         """Whether part of a message has been received, or skipped, and the rest has not."""
-        return self._message is not None or self._skip_bytes > 0 or bool(self._data.strip(b"\r\n"))
+        return bool(self._head) or self._skip_bytes > 0 or bool(self._data.strip(b"\r\n"))
 
-    def _next_head(self) -> bool:
-        """Parse the next head into `_message`; return False if its end has not been received."""
+    def _next_head(self) -> SipMessage | None:
+        """Parse the next head and keep its bytes; return None if its end has not been received."""
         if not self._data:
-            return False
+            return None
         if self._data[0] in b"\r\n":
             self._drop_keepalives()
         end = self._data.find(HEAD_END, max(0, self._searched_bytes - len(HEAD_END) + 1))
@@ -235,7 +260,7 @@
         if end < 0 or end + len(HEAD_END) > MAX_MESSAGE_BYTES:
             if len(self._data) > MAX_MESSAGE_BYTES:
                 raise self._oversized_head_error()
-            return False
+            return None
         head = bytes(self._data[:end])
         body_from = end + len(HEAD_END)
         try:
@@ -248,13 +273,12 @@
                 self._skip_bytes, self._searched_bytes = declared, 0
             raise
         del self._data[:body_from]
-        self._message, self._body_bytes, self._searched_bytes = message, length, 0
-        return True
+        self._head, self._body_bytes, self._searched_bytes = head, length, 0
+        return message
 
-    @staticmethod
-    def _read_framed_head(head: bytes, body_from: int) -> tuple[SipMessage, int]:
+    def _read_framed_head(self, head: bytes, body_from: int) -> tuple[SipMessage, int]:
         """Return a message without its body, and the length of the body in bytes."""
-        message = _read_head(head)
+        message = _read_head(head, self._kept_headers)
         length = _content_length(message)
         if length is None:
             raise SipError(400, "message on a stream has no Content-Length", message)
