Limit the rate of releases of unknown calls, in turn for each connection

Cause: each such release goes to every server without a limit, and the limit of 512 set-ups in a server's queue counted all that is queued. Evidence: six attempt_ended outcome=not sent written=False in one call, at once.

Change: UnknownReleaseForwarder forwards 500 a second, in turn for each connection; the limit for set-ups counts set-ups; ids of unknown releases no longer displace those of calls that ended here (RecentIds).

--- a/stairhatch/node/call_manager.py
+++ b/stairhatch/node/call_manager.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from functools import partial
 
 from stairhatch.node.attempts import AttemptManager
@@ -34,6 +34,7 @@
 from stairhatch.node.server_registry import ServerRegistry
 from stairhatch.node.server_responses import LossReason, ServerResponses
 from stairhatch.node.timer_wheel import TimerWheel
+from stairhatch.node.unknown_releases import UnknownRelease, UnknownReleaseForwarder
 from stairhatch.overload.actions import Action, FailCall, LogMessage, RejectCall, SendSetup, SetTimer
 from stairhatch.overload.controller import Controller
 from stairhatch.overload.events import (
@@ -89,6 +90,7 @@
             answers=self.answers,
         )
         self.responses = self._make_responses()
+        self.unknown_releases = UnknownReleaseForwarder(self.context, self.timers, self._forward_unknown)
 
     def _make_responses(self) -> ServerResponses:
         return ServerResponses(
@@ -210,19 +212,22 @@
             self.calls.remove(call)
             self.attempts.end(attempt, AttemptOutcome.CANCELLED, NO_LOAD)
 
-    def release_unknown(self, ident: str, cause: int) -> None:
+    def release_unknown(self, ident: str, cause: int, source: Hashable = None) -> None:
         """Send a caller's release of an unregistered call to every roster server that is not gone.
 
         The call was set up before a restart of this process, which has no record of its server. A call that
-        has terminated here recently is ignored.
+        has terminated here recently is ignored. `source` is the connection that brought the release.
         """
         if self.calls.was_terminated(ident):
             return  # the call has terminated here: the releases of both sides crossed
-        self.calls.remember_terminated(ident)
+        self.calls.remember_unknown(ident)
         self.counters.add("releases_of_unknown_calls")
+        self.unknown_releases.add(source, UnknownRelease(ident, cause))
+
+    def _forward_unknown(self, release: UnknownRelease) -> None:
         for server in self.servers.by_id.values():
             if server.record.availability is not Availability.GONE:
-                self.servers.pool.send_release(server, ident, cause)
+                self.servers.pool.send_release(server, release.call_id, release.cause)
 
     # ---- shutdown of the process ----
 
@@ -234,7 +239,8 @@
 
     def is_settled(self) -> bool:
         """Whether every call has its answer, and every release to a server has been written."""
-        return not self.calls.unanswered and self.servers.pool.is_flushed()
+        is_forwarded = self.unknown_releases.is_empty() and self.servers.pool.is_flushed()
+        return is_forwarded and not self.calls.unanswered
 
     def complete_shutdown(self) -> None:
         """Reject new set-ups and shut the server pool down, once all calls have been answered.
--- a/stairhatch/node/calls.py
+++ b/stairhatch/node/calls.py
@@ -6,18 +6,19 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from itertools import count
 from typing import NamedTuple, Protocol
 
+from stairhatch.node.recent_ids import RecentIds
 from stairhatch.overload.events import Availability
 from stairhatch.overload.settings import CallClass
 
 TERMINATED_KEPT_S = 40.0  # the id of a terminated call is kept this long to recognize late messages
 MAX_TERMINATED_KEPT = 20_000  # ids of terminated calls
+MAX_UNKNOWN_KEPT = 8192  # ids of released calls that were never known here
 NO_CONNECTION = 0  # the connection id of set-ups and responses in a driver without server connections
 
 
@@ -154,9 +155,9 @@
         self.by_number: dict[int, Call] = {}
         self.by_ident: dict[str, Call] = {}
         self.unanswered = 0  # number of calls in state OFFERED
-        self._clock = clock
         self._numbers = count(1)
-        self._terminated: OrderedDict[str, float] = OrderedDict()  # id -> time of termination, oldest first
+        self._terminated = RecentIds(clock, TERMINATED_KEPT_S, MAX_TERMINATED_KEPT)
+        self._unknown_released = RecentIds(clock, TERMINATED_KEPT_S, MAX_UNKNOWN_KEPT)
 
     def add(self, request: CallRequest, session: CallerSession, deadline: float, max_attempts: int) -> Call:
         """Register a new call in state OFFERED and return it. No open call may have the same id."""
@@ -179,7 +180,7 @@
         call.state = CallState.TERMINATED
         del self.by_number[call.number]
         del self.by_ident[call.request.ident]
-        self.remember_terminated(call.request.ident)
+        self._terminated.add(call.request.ident)
 
     def offered(self) -> list[Call]:
         """Return the calls that have no final answer yet."""
@@ -210,19 +211,15 @@
         return [call for call in self.by_number.values() if _is_established_at(call, server, before)]
 
     def was_terminated(self, ident: str) -> bool:
-        """Whether a call with this id has terminated recently and its id is still kept."""
-        return ident in self._terminated
-
-    def remember_terminated(self, ident: str) -> None:
-        """Keep the id of a terminated call for `TERMINATED_KEPT_S`, and drop expired or surplus ids."""
-        now = self._clock()
-        self._terminated[ident] = now
-        self._terminated.move_to_end(ident)
-        while (
-            len(self._terminated) > MAX_TERMINATED_KEPT
-            or next(iter(self._terminated.values())) < now - TERMINATED_KEPT_S
-        ):
-            self._terminated.popitem(last=False)
+        """Whether a call with this id, known here or not, has terminated recently; its id is still kept."""
+        return ident in self._terminated or ident in self._unknown_released
+
+    def remember_unknown(self, ident: str) -> None:
+        """Keep the id of a call that was released and is not known here.
+
+        These ids have a limit of their own: callers may invent any number of them.
+        """
+        self._unknown_released.add(ident)
 
 
 def _is_established_at(call: Call, server: RosterServer, before: float) -> bool:
--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -347,7 +347,7 @@
             platform_call.connection.established_calls.discard(call_id)
             self.call_manager.release(platform_call.call, sip.release_cause(message))
         elif not self.registry.deliveries.acknowledged(call_id):
-            self.call_manager.release_unknown(call_id, sip.release_cause(message))
+            self.call_manager.release_unknown(call_id, sip.release_cause(message), self)
         self.respond(message, 200, [])
 
     def _reject_unusable(
--- a/stairhatch/node/send_queue.py
+++ b/stairhatch/node/send_queue.py
@@ -63,11 +63,16 @@
 
     def append_setup(self, attempt: Attempt) -> bool:
         """Add a set-up at the end of the queue; return False if the queue is full."""
-        if len(self._items) >= MAX_QUEUED_SETUPS:
+        if self._is_full_of_setups():
             return False
         self._items.append(attempt)
         return True
 
+    def _is_full_of_setups(self) -> bool:
+        if len(self._items) < MAX_QUEUED_SETUPS:
+            return False
+        return sum(isinstance(item, Attempt) for item in self._items) >= MAX_QUEUED_SETUPS
+
     def append(self, item: QueuedItem) -> None:
         """Add an item at the end of the queue, whatever its length."""
         self._items.append(item)
--- a/stairhatch/node/server_responses.py
+++ b/stairhatch/node/server_responses.py
@@ -202,7 +202,7 @@
         self.context.counters.add("releases_of_unknown_calls")
         if self.context.tracing:
             self.context.log("call_released", call=ident, side="server", cause=cause, known=False)
-        self.calls.remember_terminated(ident)
+        self.calls.remember_unknown(ident)
         for listener in self.unknown_release_listeners:
             listener(ident, cause)
 
