Read connections that use up their processing time in turn

Cause: each turn of the loop read 16 KiB of each connection, 110 small requests or 10 to 18 ms, and each write of a set-up up to four times as much again. Evidence: delays grow by 19 ms a connection, and by requests, not bytes.

Change: HeavySenders: connections earn credit; one that has used it up is read 2 KiB at a time, in turn, one in each turn of the loop. The poller reports its close. Reads for the poller still take a whole buffer of the others.

--- a/stairhatch/node/io/accepted_connection.py
+++ b/stairhatch/node/io/accepted_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from stairhatch.node.protocol import ConnectionProtocol
@@ -24,6 +25,9 @@
         return b""
 
 
+IdleOrder = OrderedDict["AcceptedConnection", None]  # by the time of the last bytes, longest idle first
+
+
 @dataclass(slots=True, eq=False, repr=False)
 class AcceptedConnection:
     """State of a connection to one caller. Times are event loop times in seconds."""
@@ -35,7 +39,10 @@
     partial_since: float = 0.0  # when the first part of an incomplete message was received; 0: none
     peer_closed: bool = False  # the peer has closed; bytes sent before that may still be unread
     reading_ended: asyncio.Future[bool] | None = None  # set by the reader; result: the peer may still send
+    idle_order: IdleOrder | None = None  # the connection is moved to its end when bytes are received
     loss_reported: bool = False  # the protocol has been notified of the loss of the connection
+    credit_s: float = 0.0  # processing time that the connection may use at once; see `heavy_senders`
+    credited_at: float = 0.0
     requests_seen: int = 0  # the protocol's request count at the last check
     requests_seen_at: float = 0.0  # when that count was last seen to change
 
@@ -43,6 +50,10 @@
         """Treat a new connection as one that has just received bytes."""
         self.received_at = self.requests_seen_at = self.accepted_at
 
+    def has_stopped_reading(self) -> bool:
+        """Return whether reading has ended, or has never begun."""
+        return self.reading_ended is None or self.reading_ended.done()
+
     def note_requests(self, now: float) -> None:
         """Record `now` as the time of the last request if the protocol's request count has changed."""
         if (requests := self.protocol.requests) != self.requests_seen:
--- a/stairhatch/node/io/connection_runner.py
+++ b/stairhatch/node/io/connection_runner.py
@@ -11,9 +11,9 @@
 import socket
 
 from stairhatch.node.call_manager import CallManager
-from stairhatch.node.io.accepted_connection import AcceptedConnection
+from stairhatch.node.io.accepted_connection import AcceptedConnection, IdleOrder
 from stairhatch.node.io.background import BackgroundTasks
-from stairhatch.node.io.reader import BufferPool, CallerReader, IdleOrder, PooledReader
+from stairhatch.node.io.reader import BufferPool, CallerReader, PooledReader
 from stairhatch.node.io.readiness_poller import ReadinessPoller
 from stairhatch.node.io.writer import Writer
 from stairhatch.node.protocol import ConnectionProtocol, do_nothing
--- a/stairhatch/node/io/listener.py
+++ b/stairhatch/node/io/listener.py
@@ -18,11 +18,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from stairhatch.node.io.accepted_connection import AcceptedConnection
+from stairhatch.node.io.accepted_connection import AcceptedConnection, IdleOrder
 from stairhatch.node.io.addresses import SocketAddress
 from stairhatch.node.io.connection_runner import ConnectionRunner
 from stairhatch.node.io.descriptor_budget import EVICTION_DELAY_S, CallerAdmission
-from stairhatch.node.io.reader import IdleOrder
 from stairhatch.node.protocol import ConnectionProtocol
 
 FIRST_REQUEST_TIMEOUT_S = 2.5  # a caller's first request has to be answered within 3 s
--- a/stairhatch/node/io/reader.py
+++ b/stairhatch/node/io/reader.py
@@ -10,10 +10,11 @@
 import asyncio
 import select
 import socket
-from collections import OrderedDict
+import time
 from functools import partial
 
-from stairhatch.node.io.accepted_connection import AcceptedConnection
+from stairhatch.node.io.accepted_connection import AcceptedConnection, IdleOrder
+from stairhatch.node.io.heavy_senders import LIGHT_READ_BYTES, HeavySenders
 from stairhatch.node.io.readiness_poller import FaultHandler, ReadinessPoller
 from stairhatch.node.protocol import ConnectionProtocol
 
@@ -23,8 +24,6 @@
 MAX_LINGER_BYTES = 256 * 1024
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # select.EPOLL* have the same values
 
-IdleOrder = OrderedDict[AcceptedConnection, None]  # by the time of the last bytes, longest idle first
-
 
 class BufferPool:
     """Pool of receive buffers of `BUFFER_BYTES` each.
@@ -48,7 +47,10 @@
 
 
 class CallerReader:
-    """Reads the connections of callers when the event loop or the readiness poller reports them readable."""
+    """Reads the connections of callers when the event loop or the readiness poller reports them readable.
+
+    Heavy senders are read in turn instead (`HeavySenders`); the poller then reports only their close.
+    """
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, poller: ReadinessPoller, on_fault: FaultHandler
@@ -57,15 +59,44 @@
         self._loop = loop
         self._poller = poller
         self._on_fault = on_fault
+        self._heavy_senders = HeavySenders(loop, self._read_in_time)
         # All connections share this buffer: its content is processed before the next read.
-        self._buffer = memoryview(bytearray(BUFFER_BYTES))
+        self._buffer = memoryview(bytearray(LIGHT_READ_BYTES))
 
     def start(self, connection: AcceptedConnection, idle_order: IdleOrder | None = None) -> None:
         """Start reading a connection, and move it to the end of `idle_order` whenever bytes are received."""
         connection.sock.setblocking(False)
         connection.reading_ended = self._loop.create_future()
-        self._loop.add_reader(connection.sock, self._read, connection, idle_order)
-        self._poller.register(connection.sock, partial(self._read, connection, idle_order))
+        connection.idle_order = idle_order
+        self._heavy_senders.connection_added(connection)
+        self._watch(connection)
+
+    def _watch(self, connection: AcceptedConnection) -> None:
+        """Read a connection whenever it is readable."""
+        self._poller.unregister(connection.sock)
+        self._loop.add_reader(connection.sock, self._read_ready, connection)
+        self._poller.register(connection.sock, partial(self._read_ready, connection))
+
+    def _defer(self, connection: AcceptedConnection) -> None:
+        """Read a heavy sender in turn, and let the poller report only its close."""
+        self._loop.remove_reader(connection.sock)
+        self._poller.unregister(connection.sock)
+        self._poller.register(connection.sock, partial(self._note_close, connection), select.POLLRDHUP)
+        self._heavy_senders.add(connection, partial(self._drained, connection))
+
+    def _drained(self, connection: AcceptedConnection) -> None:
+        """Wait until a heavy sender is readable again."""
+        self._loop.add_reader(connection.sock, self._heavy_sender_ready, connection)
+
+    def _heavy_sender_ready(self, connection: AcceptedConnection) -> None:
+        """Read a heavy sender in turn again, unless it has earned credit meanwhile."""
+        self._heavy_senders.charge(connection)
+        if self._heavy_senders.is_heavy(connection):
+            self._loop.remove_reader(connection.sock)
+            self._heavy_senders.add(connection, partial(self._drained, connection))
+        else:
+            self._watch(connection)
+            self._read_ready(connection)
 
     def stop(self, connection: AcceptedConnection, peer_may_send: bool) -> None:
         """Stop reading a connection for its protocol and set the result of `reading_ended`.
@@ -74,32 +105,53 @@
         """
         if connection.reading_ended is not None and not connection.reading_ended.done():
             connection.reading_ended.set_result(peer_may_send)
+            self._heavy_senders.connection_removed()
             self._loop.remove_reader(connection.sock)
             self._poller.unregister(connection.sock)
 
-    def _read(self, connection: AcceptedConnection, idle_order: IdleOrder | None, events: int = 0) -> int:
+    def _note_close(self, connection: AcceptedConnection, events: int) -> int:
+        """Notify the protocol of a close by the peer; return 0, as no bytes are read.
+
+        The poller reports the close even if more bytes precede it than one read returns.
+        """
+        if events & PEER_CLOSED_EVENTS and not connection.peer_closed:
+            connection.peer_closed = True
+            connection.protocol.peer_closing()
+        return 0
+
+    def _read_ready(self, connection: AcceptedConnection, events: int = 0) -> int:
+        """Read a readable connection once; defer it if it has used up its processing time."""
+        if connection.has_stopped_reading():
+            return 0
+        size = self._read_in_time(connection, events)
+        if self._heavy_senders.is_heavy(connection) and not connection.has_stopped_reading():
+            self._defer(connection)
+        return size
+
+    def _read_in_time(self, connection: AcceptedConnection, events: int = 0) -> int:
+        """Read a connection once, and charge it the processing time.
+
+        A read for the poller (`events`) takes a whole buffer, since the poller makes few.
+        """
+        started_at = time.perf_counter()
+        buffer = self._buffer if events else self._buffer[: self._heavy_senders.read_bytes(connection)]
+        size = self._read(connection, buffer, events)
+        self._heavy_senders.charge(connection, time.perf_counter() - started_at)
+        return size
+
+    def _read(self, connection: AcceptedConnection, buffer: memoryview, events: int = 0) -> int:
         """Read once from a caller and pass the bytes to the protocol; return the number of bytes read.
 
         Returns 0 if there was nothing to read or the connection has ended. `events` is the event mask of the
-        poller: it reports a close by the peer even if more bytes precede the close than one read returns. The
-        bytes are processed in the same step, because in the next turn of the loop a timer, the write of a
-        set-up or an eviction could run before them.
+        poller. The bytes are processed in the same step, because in the next turn of the loop a timer, the
+        write of a set-up or an eviction could run before them.
         """
         protocol = connection.protocol
         try:
-            if events & PEER_CLOSED_EVENTS and not connection.peer_closed:
-                connection.peer_closed = True
-                protocol.peer_closing()
-            size = connection.sock.recv_into(self._buffer)
+            self._note_close(connection, events)
+            size = connection.sock.recv_into(buffer)
             if size:
-                protocol.receive_data(self._buffer[:size])
-                connection.received_at = now = self._loop.time()
-                is_partial = protocol.has_partial_message()
-                connection.partial_since = (connection.partial_since or now) if is_partial else 0.0
-                if idle_order is not None and connection in idle_order:
-                    idle_order.move_to_end(connection)
-                if protocol.can_close():
-                    self.stop(connection, True)
+                self._process(connection, buffer[:size])
             else:
                 protocol.eof_received()
                 self.stop(connection, False)
@@ -116,6 +168,18 @@
         connection.report_loss()
         return 0
 
+    def _process(self, connection: AcceptedConnection, data: memoryview) -> None:
+        """Pass received bytes to the protocol and note the state of the connection after it."""
+        protocol = connection.protocol
+        protocol.receive_data(data)
+        connection.received_at = now = self._loop.time()
+        is_partial = protocol.has_partial_message()
+        connection.partial_since = (connection.partial_since or now) if is_partial else 0.0
+        if connection.idle_order is not None and connection in connection.idle_order:
+            connection.idle_order.move_to_end(connection)
+        if protocol.can_close():
+            self.stop(connection, True)
+
 
 class PooledReader:
     """Reads dialled connections, each into a buffer of the pool that is held only while reading."""
--- a/stairhatch/node/io/readiness_poller.py
+++ b/stairhatch/node/io/readiness_poller.py
@@ -33,17 +33,19 @@
             self.poll = select.epoll() if hasattr(select, "epoll") else select.poll()
         self.readers: dict[int, ReadyCallback] = {}  # by descriptor
 
-    def register(self, sock: socket.socket, read: ReadyCallback) -> None:
+    def register(
+        self, sock: socket.socket, read: ReadyCallback, events: int = select.POLLIN | select.POLLRDHUP
+    ) -> None:
         """Register a socket: `read_ready` calls `read` when it is readable or its peer has closed.
 
-        Does nothing for a closed socket.
+        `events` is the event mask to poll for, if the system knows it. Does nothing for a closed socket.
         """
         descriptor = sock.fileno()
         if self.poll is None or descriptor < 0:
             return
-        for events in (select.POLLIN | select.POLLRDHUP, select.POLLIN):
+        for mask in (events, select.POLLIN):
             with contextlib.suppress(OSError, ValueError):
-                self.poll.register(descriptor, events)
+                self.poll.register(descriptor, mask)
                 self.readers[descriptor] = read
                 return
 
