Limit incomplete messages and pending set-ups by the memory that is allowed

Cause: no limit over all connections.

Change: ReceiveBudget (a 32nd of the memory; the oldest incomplete message is given up) and PendingBudget (a 16th; a connection may take as much as it leaves free, the rest gets 503). Kept ids of ended calls follow the memory. PlatformRegistry and PlatformCall moved to a module of their own.

--- a/benchmarks/hostile_clients/behaviours.py
+++ b/benchmarks/hostile_clients/behaviours.py
@@ -88,6 +88,25 @@
                 del sources[connection]
 
 
+def flood_unread(
+    messages: Callable[[], Iterator[bytes]], connections: Sequence[socket.socket], until: float
+) -> None:
+    """Send messages as fast as the connections take them, and read nothing."""
+    sources = {connection: messages() for connection in connections}
+    for connection in connections:
+        connection.setblocking(False)
+    while sources and time.monotonic() < until:
+        _, writable, _ = select.select([], list(sources), [], 0.1)
+        for connection in writable:
+            data = b"".join(itertools.islice(sources[connection], 100))
+            try:
+                connection.send(data)  # a message may be cut: the next ones are then unsound
+            except BlockingIOError:
+                continue
+            except OSError:
+                del sources[connection]
+
+
 def _exchange(connection: socket.socket, source: Iterator[bytes], unsent: dict[socket.socket, bytes]) -> bool:
     """Read and write once; return False if the connection has ended."""
     try:
@@ -129,6 +148,7 @@
     "bye": partial(flood, _each_new(partial(request, "BYE"))),
     "cancel": partial(flood, _each_new(partial(request, "CANCEL"))),
     "options": partial(flood, _each_new(partial(request, "OPTIONS"))),
+    "options-unread": partial(flood_unread, _each_new(partial(request, "OPTIONS"))),
     "unknown-method": partial(flood, _each_new(partial(request, "PLOUGH"))),
     "unsound": partial(flood, _each_new(_unsound)),
     "new-names": partial(flood, _each_new(_new_names)),
--- a/stairhatch/application.py
+++ b/stairhatch/application.py
@@ -31,6 +31,7 @@
 from stairhatch.node.io.descriptor_budget import DescriptorBudget, open_descriptor_count
 from stairhatch.node.io.listener import ListenerLimits
 from stairhatch.node.io.network import Network
+from stairhatch.node.memory_budgets import TERMINATED_IDS_PER_MB, MemoryLimits
 from stairhatch.node.platform_frontend import PlatformFrontend
 from stairhatch.node.server_pool import ServerConnectionPool
 from stairhatch.node.service_discovery import ServiceDiscoveryClient
@@ -148,7 +149,10 @@
 
     def _listen_platform(self, config: Config, address: tuple[str, int]) -> str:
         parts = self.parts
-        parts.platform_frontend = PlatformFrontend(parts.call_manager)
+        parts.call_manager.calls.limit_terminated(int(config.memory_mb * TERMINATED_IDS_PER_MB))
+        parts.platform_frontend = PlatformFrontend(
+            parts.call_manager, MemoryLimits.for_memory(config.memory_mb)
+        )
         at = address if config.inherited is None else inherited_socket(config.inherited)
         limits = ListenerLimits(caller_connection_limit(config))
         listener = parts.network.listen(at, parts.platform_frontend.connect, limits, config.inherited is None)
--- a/stairhatch/node/calls.py
+++ b/stairhatch/node/calls.py
@@ -214,6 +214,11 @@
         """Whether a call with this id, known here or not, has terminated recently; its id is still kept."""
         return ident in self._terminated or ident in self._unknown_released
 
+    def limit_terminated(self, max_kept: int) -> None:
+        """Keep at most so many ids of terminated calls, if that is below `MAX_TERMINATED_KEPT`."""
+        self._terminated.max_kept = min(MAX_TERMINATED_KEPT, max_kept)
+        self._unknown_released.max_kept = min(MAX_UNKNOWN_KEPT, max_kept)
+
     def remember_unknown(self, ident: str) -> None:
         """Keep the id of a call that was released and is not known here.
 
--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from dataclasses import dataclass
-
 from stairhatch.node import sip_message as sip
 from stairhatch.node import sip_parser
-from stairhatch.node.call_manager import CallManager
 from stairhatch.node.caller_output import CallerOutput, UnreadReason
-from stairhatch.node.calls import Call, ReleaseCause
+from stairhatch.node.calls import ReleaseCause
+from stairhatch.node.memory_budgets import (
+    PENDING_SETUP_BYTES,
+)
+from stairhatch.node.platform_registry import PlatformCall, PlatformRegistry
 from stairhatch.node.platform_request import (
     ALLOW,
     METHODS,
@@ -24,97 +24,10 @@
 )
 from stairhatch.node.protocol import ConnectionProtocol
 from stairhatch.node.readiness import RETRY_AFTER_S
-from stairhatch.node.release_delivery import ReleaseDelivery
 
-MAX_EARLY_CANCELS = 4096  # limit on the ids of set-ups whose CANCEL arrived first, on another connection
 MAX_UNUSABLE_REQUESTS = 8  # a connection is closed after this many unusable requests
 
 
-@dataclass(slots=True, eq=False, repr=False)
-class PlatformCall:
-    """Caller session of one set-up: sends the call manager's answers to the caller (`CallerSession`)."""
-
-    connection: PlatformConnection
-    call_id: str  # used by callers and servers alike
-    echo: bytes  # header lines of the set-up that its responses copy; rendered, as they take less memory
-    call: Call | None = None
-
-    def respond(self, status: int, extra: sip.Headers, body: bytes = b"") -> None:
-        """Send the final response to the set-up; called once."""
-        self.connection.pending.pop(self.call_id, None)
-        self.connection.respond_to(self.echo, status, extra, body)
-        self.echo = b""
-        if status >= 300:
-            self.connection.registry.calls.pop(self.call_id, None)
-            self.call = None  # breaks the reference cycle: garbage collection paused a busy node for too long
-
-    def progressing(self) -> None:
-        """Do nothing: the platform's callers get only the final response."""
-
-    def established(self, description: bytes) -> None:
-        """Respond 200 with the server's session description."""
-        self.connection.established_calls.add(self.call_id)
-        self.respond(200, [], description)
-
-    def rejected(self, retry_after_s: float) -> None:
-        """Respond 503; the caller may retry after `retry_after_s`, which is not sent if it is 0."""
-        self.respond(503, [("come-back-ms", str(int(retry_after_s * 1000)))] if retry_after_s > 0 else [])
-
-    def failed(self, timed_out: bool) -> None:
-        """Respond 500, whether or not the call has timed out."""
-        self.respond(500, [])
-
-    def released(self, cause: int) -> None:
-        """Send the caller a release by a Q.850 cause, because the roster server has ended the call."""
-        self.call = None
-        self.connection.established_calls.discard(self.call_id)
-        self.connection.registry.release(self.call_id, cause, self.connection)
-
-
-class PlatformRegistry:
-    """Registry shared by all platform connections: the connections, their calls and pending releases."""
-
-    def __init__(self, call_manager: CallManager) -> None:
-        """Start without calls; releases of unknown calls by servers are delivered to callers too."""
-        self.call_manager = call_manager
-        self.connections: dict[PlatformConnection, None] = {}  # the last active connection comes last
-        self.calls: dict[str, PlatformCall] = {}
-        self.deliveries = ReleaseDelivery(call_manager, self.connections)
-        self._early_cancels: OrderedDict[str, None] = OrderedDict()
-        self._last_branch = 0
-        call_manager.responses.unknown_release_listeners.append(self.release)
-
-    def release(self, call_id: str, cause: int, call_connection: PlatformConnection | None = None) -> None:
-        """Send a caller the release of its call, on `call_connection` if that is open."""
-        self.calls.pop(call_id, None)
-        self.deliveries.deliver(call_id, cause, call_connection)
-
-    def mark_active(self, connection: PlatformConnection) -> None:
-        """Add a connection, or move it to the end after data was received on it."""
-        self.connections[connection] = self.connections.pop(connection, None)
-
-    def next_branch(self) -> str:
-        """Return a new Via branch for a request to a caller (RFC 3261, section 8.1.1.7)."""
-        self._last_branch += 1
-        return f"z9hG4bK{self._last_branch:x}"
-
-    def remember_early_cancel(self, call_id: str) -> None:
-        """Record a CANCEL for an unknown set-up, which may still be unread on another connection.
-
-        A set-up that arrives later under this call id is answered and not offered.
-        """
-        self._early_cancels[call_id] = None
-        if len(self._early_cancels) > MAX_EARLY_CANCELS:
-            self._early_cancels.popitem(last=False)
-
-    def take_early_cancel(self, call_id: str) -> bool:
-        """Return whether the CANCEL of a set-up arrived before the set-up, and remove the record of it."""
-        if call_id not in self._early_cancels:
-            return False
-        del self._early_cancels[call_id]
-        return True
-
-
 class PlatformConnection(ConnectionProtocol):
     """Protocol of one connection of the platform's callers."""
 
@@ -126,6 +39,7 @@
         self.registry = registry
         self.call_manager = registry.call_manager
         self.pending: dict[str, PlatformCall] = {}  # set-ups without a final response
+        self._pending_bytes = 0  # memory that they take
         self.established_calls: set[str] = set()  # set up on this connection and not known to have ended
         self.requests = 0
         self.is_caller = False  # got a non-health-check request, or none within CALLER_DETECTION_DELAY_S
@@ -197,6 +111,16 @@
                 self.respond(error.partial, error.status, [])
             self._parser.discard()
             self._close_when_written()
+        self.registry.receive_budget.update(self, self._parser.buffered_bytes)
+
+    def drop_partial_message(self) -> None:
+        """Respond 503 to an incomplete request, if its head was received, and close."""
+        self.call_manager.counters.add("partial_messages_dropped")
+        partial_request = self._parser.pending_request
+        if partial_request is not None and partial_request.method not in ("", "ACK"):
+            self.respond(partial_request, 503, [])
+        self._parser.discard()
+        self._close_when_written()
 
     def data_to_send(self) -> bytes:
         """Remove and return the output to write next."""
@@ -222,6 +146,7 @@
     def connection_lost(self) -> None:
         """Abandon the pending set-ups and resend unacknowledged releases; established calls continue."""
         self.registry.connections.pop(self, None)
+        self.registry.receive_budget.update(self, 0)
         for platform_call in list(self.pending.values()):
             self.abandon(platform_call)
         self._output.clear()
@@ -286,11 +211,23 @@
             self.is_caller = True
             self.registry.deliveries.deliver_waiting(self)
 
+    def remove_pending(self, call_id: str) -> None:
+        """Remove a set-up, if it is pending on this connection."""
+        platform_call = self.pending.pop(call_id, None)
+        if platform_call is not None:
+            self._pending_bytes -= platform_call.held_bytes
+            self.registry.pending_budget.total_bytes -= platform_call.held_bytes
+
+    def _add_pending(self, platform_call: PlatformCall) -> None:
+        self.pending[platform_call.call_id] = platform_call
+        self._pending_bytes += platform_call.held_bytes
+        self.registry.pending_budget.total_bytes += platform_call.held_bytes
+
     def abandon(self, platform_call: PlatformCall) -> None:
         """Remove a set-up that its caller has abandoned, and end its call."""
         call_id = platform_call.call_id
         self.registry.calls.pop(call_id, None)
-        self.pending.pop(call_id, None)
+        self.remove_pending(call_id)
         if platform_call.call is not None:
             self.call_manager.abandon(platform_call.call)
 
@@ -343,7 +280,7 @@
     def _bye_received(self, message: sip.SipMessage, call_id: str) -> None:
         platform_call = self.registry.calls.pop(call_id, None)
         if platform_call is not None and platform_call.call is not None:
-            platform_call.connection.pending.pop(call_id, None)
+            platform_call.connection.remove_pending(call_id)
             platform_call.connection.established_calls.discard(call_id)
             self.call_manager.release(platform_call.call, sip.release_cause(message))
         elif not self.registry.deliveries.acknowledged(call_id):
@@ -384,16 +321,27 @@
             self.respond(message, 480, [])
             return
         if call_manager.readiness.rejects_new_calls():
-            call_manager.counters.add("calls_rejected_draining")
-            if call_manager.context.tracing:
-                call_manager.log("call_rejected", call=call_id, why="draining")
-            advice = [("come-back-ms", str(int(RETRY_AFTER_S * 1000)))]
-            self.respond(message, 503, advice if call_manager.settings.may_send_retry_after else [])
+            self._reject_setup(message, call_id, "draining")
+            return
+        echo = sip.render_echo(message)
+        held_bytes = PENDING_SETUP_BYTES + len(echo) + len(message.body)
+        if not registry.pending_budget.has_room(self._pending_bytes, held_bytes):
+            self._reject_setup(message, call_id, "memory")
             return
-        platform_call = PlatformCall(self, call_id, sip.render_echo(message))
-        registry.calls[call_id] = self.pending[call_id] = platform_call
+        platform_call = PlatformCall(self, call_id, echo, held_bytes)
+        registry.calls[call_id] = platform_call
+        self._add_pending(platform_call)
         call = call_manager.offer_call(request, platform_call)
         if call is None:
             platform_call.respond(482, [])
         if call_id in registry.calls:
             platform_call.call = call
+
+    def _reject_setup(self, message: sip.SipMessage, call_id: str, reason: str) -> None:
+        """Respond 503 to a set-up that is not offered; another softswitch may accept it."""
+        call_manager = self.call_manager
+        call_manager.counters.add(f"calls_rejected_{reason}")
+        if call_manager.context.tracing:
+            call_manager.log("call_rejected", call=call_id, why=reason)
+        advice = [("come-back-ms", str(int(RETRY_AFTER_S * 1000)))]
+        self.respond(message, 503, advice if call_manager.settings.may_send_retry_after else [])
--- a/stairhatch/node/platform_frontend.py
+++ b/stairhatch/node/platform_frontend.py
@@ -10,7 +10,9 @@
 from functools import partial
 
 from stairhatch.node.call_manager import CallManager
-from stairhatch.node.platform_connection import PlatformConnection, PlatformRegistry
+from stairhatch.node.memory_budgets import NO_MEMORY_LIMITS, MemoryLimits
+from stairhatch.node.platform_connection import PlatformConnection
+from stairhatch.node.platform_registry import PlatformRegistry
 
 CALLER_DETECTION_DELAY_S = 0.1  # a connection without a request for this long is a caller's
 
@@ -18,10 +20,10 @@
 class PlatformFrontend:
     """Frontend for the connections of the platform's callers."""
 
-    def __init__(self, call_manager: CallManager) -> None:
+    def __init__(self, call_manager: CallManager, limits: MemoryLimits = NO_MEMORY_LIMITS) -> None:
         """Start without connections; `call_manager` handles the calls."""
         self.call_manager = call_manager
-        self.registry = PlatformRegistry(call_manager)
+        self.registry = PlatformRegistry(call_manager, limits)
 
     def connect(self, _peer: tuple[str, int] = ("", 0)) -> PlatformConnection:
         """Return the protocol object for a new connection of a caller or of a health checker."""
--- a/stairhatch/node/recent_ids.py
+++ b/stairhatch/node/recent_ids.py
@@ -11,7 +11,7 @@
 
     def __init__(self, clock: Callable[[], float], kept_s: float, max_kept: int) -> None:
         """Keep each id for `kept_s` seconds of the clock, and `max_kept` ids at most."""
-        self._clock, self._kept_s, self._max_kept = clock, kept_s, max_kept
+        self._clock, self._kept_s, self.max_kept = clock, kept_s, max_kept
         self._added_at: OrderedDict[str, float] = OrderedDict()  # oldest first
 
     def __contains__(self, ident: str) -> bool:
@@ -27,7 +27,5 @@
         now = self._clock()
         self._added_at[ident] = now
         self._added_at.move_to_end(ident)
-        while (
-            len(self._added_at) > self._max_kept or next(iter(self._added_at.values())) < now - self._kept_s
-        ):
+        while len(self._added_at) > self.max_kept or next(iter(self._added_at.values())) < now - self._kept_s:
             self._added_at.popitem(last=False)
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -8,6 +8,7 @@
 import pytest
 
 from stairhatch.node import sip_parser
+from stairhatch.node.memory_budgets import MemoryLimits
 from stairhatch.node.platform_frontend import PlatformFrontend
 
 from .support.accepted_connections import take_statuses
@@ -90,3 +91,52 @@
         assert node.written[-1].call.request.description == "x" * 19
         node.establish()
         assert take_statuses(connection, ident) == [200]
+
+
+def test_the_oldest_incomplete_messages_are_given_up_above_the_limit() -> None:
+    """Guards against a process that is killed because many clients stop half way through a message."""
+    limits = MemoryLimits(receive_bytes=100_000)
+    frontend = PlatformFrontend(InProcessNode().call_manager, limits)
+    part = platform_invite("0" * 16, body=b"x" * 12_000)[:-1]
+    connections = [frontend.connect() for _ in range(CONNECTIONS)]
+    for connection in connections:
+        connection.receive_data(part)
+        assert frontend.registry.receive_budget.total_bytes <= limits.receive_bytes
+    open_ones = [connection for connection in connections if not connection.closing]
+    assert open_ones == connections[-len(open_ones) :], "the newest are kept"
+    assert len(open_ones) == limits.receive_bytes // len(part)
+    assert take_statuses(connections[0], "0" * 16) == [503]
+    for connection in connections:
+        connection.connection_lost()
+    assert frontend.registry.receive_budget.total_bytes == 0
+
+
+def test_callers_who_write_at_once_are_spared_by_the_limit_on_incomplete_messages() -> None:
+    """Guards against a caller that is cut off because of others who write slowly."""
+    node = InProcessNode()
+    frontend = PlatformFrontend(node.call_manager, MemoryLimits(receive_bytes=100_000))
+    for _ in range(CONNECTIONS):
+        frontend.connect().receive_data(platform_invite("0" * 16, body=b"x" * 12_000)[:-1])
+    caller, ident = frontend.connect(), next_call_id()
+    caller.receive_data(platform_invite(ident, body=b"x" * 12_000))
+    assert not caller.closing
+    assert ident in caller.pending
+
+
+def test_a_flood_of_setups_is_rejected_above_the_limit_and_leaves_room_for_others() -> None:
+    """Guards against a process that is killed by set-ups that wait, and against rejecting everybody then."""
+    limits = MemoryLimits(pending_bytes=400_000)
+    node = InProcessNode()
+    frontend = PlatformFrontend(node.call_manager, limits)
+    flooding, other = frontend.connect(), frontend.connect()
+    idents = [next_call_id() for _ in range(400)]
+    for ident in idents:
+        flooding.receive_data(platform_invite(ident))
+    assert frontend.registry.pending_budget.total_bytes <= limits.pending_bytes / 2
+    assert 0 < len(flooding.pending) < len(idents)
+    other.receive_data(platform_invite(ident := next_call_id()))
+    assert ident in other.pending
+    node.run(30.0)
+    assert frontend.registry.pending_budget.total_bytes == 0
+    answered = flooding.data_to_send().count(b"SIP/2.0 ")
+    assert answered == len(idents), "each set-up has its answer"
