Let the lines in use refute a new process at a silent server's address

Cause: the coordinator's list confirmed the new process after 4.5 s, the time for a restart that is notified; a silent end is listed later. Evidence: server_confirmed_by_list 4.7 s after the end; told 7.9, 10.0 and 14.0 s after it with the listing at these times.

Change: the first load report on a connection refutes the process if fewer lines are in use than calls must be there, or far fewer than were reported last. The list does not confirm it then, and the calls end in time.

Open: a new process that others fill at once, or a server that reports no lines.

--- a/stairhatch/node/failure_detector.py
+++ b/stairhatch/node/failure_detector.py
@@ -14,6 +14,10 @@
 that, the list says so before the calls would count as lost. A restart during a longer loss may be listed too
 late, and an answer that does not list it proves nothing.
 
+The coordinator may list the silent end of a process later than that, so its answer does not count either if
+the first load report on the connection refutes it: if fewer lines are in use than calls must be, or far fewer
+than the process with the calls reported last. A process that has just started holds few calls.
+
 The module uses no socket; times are those of the call manager's clock, in seconds.
 """
 
@@ -29,6 +33,7 @@
 PROBE_INTERVAL_S = 2.0  # between two probes; after a probe that fails to connect the next one is due at once
 LISTING_DELAY_S = 4.5  # from a restart or an end until the coordinator lists it
 MAX_SUCCESSION_S = LOST_AFTER_S - LISTING_DELAY_S  # from the last confirmation until a connection came up
+MIN_LINES_FRACTION = 0.5  # of the lines in use that remain in use during a loss of some seconds
 STALL_THRESHOLD_S = 0.5  # a longer gap between checks shows a stall: messages are read before a verdict
 
 
@@ -54,6 +59,7 @@
     connected_at: float
     first_received_at: float
     last_received_at: float
+    lines_in_use: float | None = None  # of the first load report that names them
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -70,6 +76,7 @@
     trusted: set[Hashable] = field(default_factory=set)  # connections that lead to the process with the calls
     sightings: list[Sighting] = field(default_factory=list)  # unconfirmed, also of ended connections
     successors: dict[Hashable, Sighting] = field(default_factory=dict)  # those of open connections
+    confirmed_lines: float | None = None  # lines in use by the last report of the process with the calls
     reports_load: bool = False
     probed_at: float = -math.inf
     checked_at: float = -math.inf
@@ -79,17 +86,25 @@
     # ---- observations ----
 
     def message_received(
-        self, connection: Hashable, connected_at: float, now: float, is_load_report: bool
+        self,
+        connection: Hashable,
+        connected_at: float,
+        now: float,
+        is_load_report: bool,
+        lines_in_use: float | None = None,
     ) -> None:
         """Note a message on a connection that has been up since `connected_at`.
 
         A connection that was up before the last confirmation of the process leads to that process.
+        `lines_in_use` is the number that a load report names.
         """
         self.last_received_at = now
         self.reports_load = self.reports_load or is_load_report
         if connection in self.trusted or connected_at < self.confirmed_at:
             self.trusted.add(connection)
             self.confirmed_at = now
+            if lines_in_use is not None:
+                self.confirmed_lines = lines_in_use
             self._clear_sightings()
             return
         sighting = self.successors.get(connection)
@@ -97,6 +112,8 @@
             sighting = self.successors[connection] = Sighting(connection, connected_at, now, now)
             self.sightings.append(sighting)
         sighting.last_received_at = now
+        if sighting.lines_in_use is None:
+            sighting.lines_in_use = lines_in_use
 
     def connection_lost(self, connection: Hashable) -> None:
         """Drop a connection that has ended; what was received on it may still be confirmed."""
@@ -106,6 +123,7 @@
     def trust_successors(self) -> None:
         """Treat the process behind all connections as the one that holds the calls."""
         self.trusted.update(self.successors)
+        self.confirmed_lines = self.sightings[-1].lines_in_use if self.sightings else None
         self._clear_sightings()
         self.confirmed_at = self.last_received_at
 
@@ -118,13 +136,13 @@
         self.confirmed_at = now
         self._clear_sightings()
 
-    def confirm_by_list(self, listed_at: float) -> bool:
+    def confirm_by_list(self, listed_at: float, held_calls: int) -> bool:
         """Confirm what a complete answer at `listed_at` shows to be messages of the process with the calls.
 
-        Returns whether there were any.
+        `held_calls` is the number of calls that this process must hold. Returns whether there were any.
         """
         confirmed_before = self.confirmed_at
-        while self.sightings and self._is_confirmed_by_list(self.sightings[0], listed_at):
+        while self.sightings and self._is_confirmed_by_list(self.sightings[0], listed_at, held_calls):
             sighting = self.sightings.pop(0)
             self.confirmed_at = max(self.confirmed_at, sighting.last_received_at)
             if self.successors.get(sighting.connection) is sighting:
@@ -132,11 +150,23 @@
                 self.trusted.add(sighting.connection)
         return self.confirmed_at > confirmed_before
 
-    def _is_confirmed_by_list(self, sighting: Sighting, listed_at: float) -> bool:
+    def _is_confirmed_by_list(self, sighting: Sighting, listed_at: float, held_calls: int) -> bool:
         if sighting.connected_at < self.confirmed_at:
             return True  # the process was confirmed while the connection was up
         is_listed_in_time = sighting.connected_at <= self.confirmed_at + MAX_SUCCESSION_S
-        return is_listed_in_time and listed_at >= self.confirmed_at + LISTING_DELAY_S
+        is_listed = is_listed_in_time and listed_at >= self.confirmed_at + LISTING_DELAY_S
+        return is_listed and not self.is_refuted(sighting, held_calls)
+
+    def is_refuted(self, sighting: Sighting, held_calls: int) -> bool:
+        """Return whether the lines in use show that another process sent the messages of a sighting."""
+        if sighting.lines_in_use is None:
+            return False
+        if sighting.lines_in_use < held_calls:
+            return True
+        if self.confirmed_lines is None:
+            return False
+        spread = math.sqrt(max(0.0, self.confirmed_lines))
+        return sighting.lines_in_use < MIN_LINES_FRACTION * self.confirmed_lines - spread
 
     def _clear_sightings(self) -> None:
         self.sightings.clear()
--- a/stairhatch/node/failure_monitor.py
+++ b/stairhatch/node/failure_monitor.py
@@ -16,7 +16,7 @@
 from stairhatch.node.failure_detector import FailureDetector, ServerVerdict
 from stairhatch.node.server_connection import ServerConnection
 from stairhatch.node.server_responses import LossReason
-from stairhatch.overload.events import Availability
+from stairhatch.overload.events import Availability, LoadReport
 
 CHECK_INTERVAL_S = 0.1
 LOSS_REASONS = {
@@ -55,14 +55,20 @@
 
     # ---- notifications by the pool ----
 
-    def message_received(self, connection: ServerConnection, is_load_report: bool) -> None:
+    def message_received(
+        self, connection: ServerConnection, is_load_report: bool, report: LoadReport
+    ) -> None:
         """Note a message on a connection in the detector of its server."""
         server = connection.server
         detector = self._detectors.get(server.id)
         if detector is None:
             detector = self._detectors[server.id] = FailureDetector()
         connected_at = connection.liveness.connected_at
-        detector.message_received(connection, connected_at, self._call_manager.clock(), is_load_report)
+        lines_in_use = None
+        if report.total_lines is not None and report.free_lines is not None:
+            lines_in_use = report.total_lines - report.free_lines
+        now = self._call_manager.clock()
+        detector.message_received(connection, connected_at, now, is_load_report, lines_in_use)
         if detector.sightings:
             self._judge_successor(server, detector)
 
@@ -134,7 +140,8 @@
         confirmed_at = detector.confirmed_at
         connected_at = detector.sightings[0].connected_at
         listed_at = self._call_manager.servers.list_confirmed_at
-        if detector.confirm_by_list(listed_at):
+        held_calls = len(self._call_manager.calls.established_at(server, detector.lost_before()))
+        if detector.confirm_by_list(listed_at, held_calls):
             self._call_manager.log(
                 "server_confirmed_by_list",
                 server=server.record.instance,
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -27,7 +27,7 @@
     render_release,
 )
 from stairhatch.node.server_responses import CallRelease, LossReason
-from stairhatch.overload.events import Availability
+from stairhatch.overload.events import Availability, LoadReport
 
 DRAIN_TIMEOUT_S = 10.0  # after it a connection to a server that is gone is closed, even with pending set-ups
 MIN_SUPERSEDED_READ_S = 10.0  # a superseded connection is read longer while its calls are established
@@ -68,7 +68,9 @@
     def promote(self, connection: ServerConnection) -> None:
         """Make a standby connection that has come up the active one."""
 
-    def message_received(self, connection: ServerConnection, is_load_report: bool) -> None:
+    def message_received(
+        self, connection: ServerConnection, is_load_report: bool, report: LoadReport
+    ) -> None:
         """Handle a received message; a superseded connection that should have brought it too may be dead."""
 
     @property
@@ -340,7 +342,7 @@
         call_manager.counters.add(RECEIVED_COUNTERS.get(verb, "got_other_verb"))
         is_load_report = verb == Verb.LOAD
         self.liveness.message_received(call_manager.clock(), is_load_report)
-        self.pool.message_received(self, is_load_report)
+        self.pool.message_received(self, is_load_report, report)
         match verb:
             case Verb.STARTED:
                 responses.load_reported(self.server, report)
--- a/stairhatch/node/server_pool.py
+++ b/stairhatch/node/server_pool.py
@@ -21,7 +21,7 @@
 from stairhatch.node.send_queue import MAX_ARRIVAL_SKEW_S
 from stairhatch.node.server_connection import MIN_SUPERSEDED_READ_S, ServerConnection
 from stairhatch.node.server_responses import LossReason
-from stairhatch.overload.events import Availability
+from stairhatch.overload.events import Availability, LoadReport
 
 START_MARGIN_S = 1.0  # a connection older than the server's start by more leads to the previous process
 CLOSE_CHECK_S = 1.0  # between two checks whether a superseded or out-of-scope connection may close
@@ -225,9 +225,11 @@
         ):
             old.end_superseded_period()
 
-    def message_received(self, connection: ServerConnection, is_load_report: bool) -> None:
+    def message_received(
+        self, connection: ServerConnection, is_load_report: bool, report: LoadReport
+    ) -> None:
         """Handle a received message, and check superseded connections that should have brought it too."""
-        self.failures.message_received(connection, is_load_report)
+        self.failures.message_received(connection, is_load_report, report)
         if not self.superseded or connection in self.superseded:
             return
         if is_load_report and connection.liveness.load_reports < 2:  # sent first on each new connection
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -78,6 +78,34 @@
     assert server.has_call(ident)
 
 
+@pytest.mark.parametrize(
+    ("lines_in_use", "continues"),
+    [(0, False), (1, False), (10, False), (40, True), (30, True), (None, True)],
+    ids=["none", "fewer than calls", "far fewer", "as many", "somewhat fewer", "not reported"],
+)
+def test_a_list_does_not_confirm_a_process_whose_lines_in_use_refute_it(
+    lines_in_use: int | None, continues: bool
+) -> None:
+    """Guards against callers that are told when a silent end is listed, after 6.5 to 14 s: a new process is
+    reached at the address 1.5 s after the last sign of life, and the list names no restart yet.
+    """
+    server = ServerOnClock(list_answers=True)
+    idents = [server.establish_call() for _ in range(2)]
+    report = LOAD_LINE
+    if lines_in_use is None:
+        report = b'{"verb":"LOAD","tag":"","opts":{"load":"queue:1"}}\n'
+    elif lines_in_use != 40:
+        report = LOAD_LINE.replace(b"free:50", b"free:%d" % (90 - lines_in_use))
+    silent_at = server.node.now
+    server.run(1.5)
+    server.pool.dial_standby(server.connection)
+    server.pool.standby[1].connection_made()
+    while server.node.now < silent_at + RELEASE_LIMIT_S - 0.5:
+        server.pool.active[1].receive_data(report)
+        server.run(0.5)
+    assert [server.has_call(ident) for ident in idents] == [continues] * 2
+
+
 @pytest.mark.parametrize(
     ("cut_s", "list_answers", "continues"),
     [(2.1, True, True), (2.1, False, False), (5.0, True, False), (6.0, True, False), (6.0, False, False)],
@@ -178,15 +206,17 @@
     detector.message_received("second", 0.1, 2.0, is_load_report=True)
     detector.connection_lost("second")
     detector.message_received("third", 4.5, 4.6, is_load_report=True)
-    assert not detector.confirm_by_list(4.4), "a restart before the second is not listed for certain"
-    assert detector.confirm_by_list(4.6)
+    assert not detector.confirm_by_list(
+        4.4, held_calls=1
+    ), "a restart before the second is not listed for certain"
+    assert detector.confirm_by_list(4.6, held_calls=1)
     assert detector.confirmed_at == 2.0
     assert detector.lost_before() == 4.6
-    assert detector.confirm_by_list(6.6)
+    assert detector.confirm_by_list(6.6, held_calls=1)
     assert detector.confirmed_at == 4.6
     detector.connection_lost("third")
     detector.message_received("fourth", 7.5, 7.6, is_load_report=True)
-    assert not detector.confirm_by_list(11.0)
+    assert not detector.confirm_by_list(11.0, held_calls=1)
     detector.check(11.8)
     assert detector.check(11.9) is ServerVerdict.REPLACED
 
