Charge processor time, and read new connections in small pieces

Cause: with 100 to 320 connections that begin to flood together, each was read 16 KiB for the poller before its credit was used up: 0.6 to 3.2 s in which other callers were refused. The credit was charged in elapsed time, so that a process waiting for a processor took sound connections for heavy ones.

Change: the thread's processor time is charged, a new connection has 2 ms, and 4 KiB are read at a time until it has earned more; the poller makes up to ten rounds, so that a CANCEL behind 30 KiB is still seen.

--- a/benchmarks/hostile_clients/play.py
+++ b/benchmarks/hostile_clients/play.py
@@ -30,6 +30,7 @@
     clients: int
     limits: ProgramLimits
     seconds: float
+    server_lines: int = 40
 
 
 @dataclass(slots=True)
@@ -82,7 +83,9 @@
 def run_play(play: Play) -> Outcome:
     """Run one play. Raises UnavailableFigureError if the softswitch or the callers do not start."""
     context = multiprocessing.get_context("spawn")
-    with SoftswitchProcess(ROSTER_SERVERS, limits=play.limits, servers_per_process=1) as softswitch:
+    with SoftswitchProcess(
+        ROSTER_SERVERS, limits=play.limits, servers_per_process=1, server_lines=play.server_lines
+    ) as softswitch:
         if softswitch.startup_s is None:
             raise UnavailableFigureError("the softswitch does not serve")
         rest_mb = softswitch.memory_mb()
--- a/benchmarks/hostile_clients_run.py
+++ b/benchmarks/hostile_clients_run.py
@@ -32,6 +32,7 @@
     parser.add_argument("--memory-mb", type=numbers, default=[64, 192])
     parser.add_argument("--sockets", type=int, default=1024)
     parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--server-lines", type=int, default=40)
     options = parser.parse_args()
     if options.list:
         print("\n".join(BEHAVIOURS))
@@ -39,7 +40,7 @@
     plays = itertools.product(options.behaviours or BEHAVIOURS, options.memory_mb, options.clients)
     for behaviour, memory_mb, clients in plays:
         limits = ProgramLimits(memory_mb, options.sockets)
-        outcome = run_play(Play(behaviour, clients, limits, options.seconds))
+        outcome = run_play(Play(behaviour, clients, limits, options.seconds, options.server_lines))
         print(f"{behaviour} clients {clients} memory_mb {memory_mb}: {outcome.summary()}", flush=True)
 
 
--- a/benchmarks/scaling/counting_emulators.py
+++ b/benchmarks/scaling/counting_emulators.py
@@ -56,8 +56,8 @@
 class CountingServer(ServerEmulator):
     """A roster server that counts messages and bytes; several servers may share one `counts` object."""
 
-    def __init__(self, counts: ServerCounts) -> None:
-        super().__init__(lines=SERVER_LINES)
+    def __init__(self, counts: ServerCounts, lines: int) -> None:
+        super().__init__(lines=lines)
         self.counts = counts
 
     async def listen(self, host: str = "127.0.0.1", port: int = 0) -> CountingServer:
@@ -85,11 +85,12 @@
     """An emulator service of `count` roster servers; its start message contains their addresses."""
 
     count: int
+    lines: int = SERVER_LINES  # of each server
 
     async def start(self) -> list[Address]:
         """Start the servers. Returns their addresses."""
         self._counts = ServerCounts()
-        self._servers = [await CountingServer(self._counts).listen() for _ in range(self.count)]
+        self._servers = [await CountingServer(self._counts, self.lines).listen() for _ in range(self.count)]
         return [server.address for server in self._servers]
 
     def reply(self, _request: Request) -> ServerCounts:
--- a/benchmarks/scaling/softswitch_process.py
+++ b/benchmarks/scaling/softswitch_process.py
@@ -20,7 +20,7 @@
 from benchmarks.scaling.errors import UnavailableFigureError
 from benchmarks.scaling.measurement import wait_until
 from benchmarks.scaling.slope_files import ROOT
-from benchmarks.scaling.workload import settings_json
+from benchmarks.scaling.workload import SERVER_LINES, settings_json
 from stairhatch.emulators.coordinator_emulator import endpoint_line
 from stairhatch.emulators.ports import Address, free_port
 
@@ -81,11 +81,13 @@
         program: Sequence[str] = PROGRAM,
         limits: ProgramLimits = DEFAULT_LIMITS,
         servers_per_process: int = MAX_SERVERS_A_PROCESS,
+        server_lines: int = SERVER_LINES,
     ) -> None:
         self._listed = listed
         self._program = program
         self._limits = limits
         self._servers_per_process = servers_per_process
+        self._server_lines = server_lines
         self._resources = ExitStack()
         # Seconds from the start to the event `serving`; None: no such event within SERVING_TIMEOUT_S.
         self.startup_s: float | None = None
@@ -109,7 +111,7 @@
             for first in range(0, self._listed, self._servers_per_process)
         ]
         self._servers = self._resources.enter_context(
-            emulator_processes([RosterServers(count) for count in counts])
+            emulator_processes([RosterServers(count, self._server_lines) for count in counts])
         )
         self.server_addresses: list[Address] = [
             address for process in self._servers for address in process.start_message
--- a/stairhatch/node/io/heavy_senders.py
+++ b/stairhatch/node/io/heavy_senders.py
@@ -15,7 +15,7 @@
 from stairhatch.node.io.accepted_connection import AcceptedConnection
 
 MAX_CREDIT_S = 0.03  # processing time that a connection may use at once, and the most that it may owe
-FIRST_CREDIT_S = 0.005
+FIRST_CREDIT_S = 0.002
 SHARED_RATE = 0.5  # seconds of processing time that all connections together earn per second
 HEAVY_READ_BYTES = 2048
 LIGHT_READ_BYTES = 16 * 1024
--- a/stairhatch/node/io/reader.py
+++ b/stairhatch/node/io/reader.py
@@ -129,14 +129,11 @@
         return size
 
     def _read_in_time(self, connection: AcceptedConnection, events: int = 0) -> int:
-        """Read a connection once, and charge it the processing time.
-
-        A read for the poller (`events`) takes a whole buffer, since the poller makes few.
-        """
-        started_at = time.perf_counter()
-        buffer = self._buffer if events else self._buffer[: self._heavy_senders.read_bytes(connection)]
+        """Read a connection once, and charge it the processor time of this thread."""
+        started_at = time.thread_time()
+        buffer = self._buffer[: self._heavy_senders.read_bytes(connection)]
         size = self._read(connection, buffer, events)
-        self._heavy_senders.charge(connection, time.perf_counter() - started_at)
+        self._heavy_senders.charge(connection, time.thread_time() - started_at)
         return size
 
     def _read(self, connection: AcceptedConnection, buffer: memoryview, events: int = 0) -> int:
--- a/stairhatch/node/io/readiness_poller.py
+++ b/stairhatch/node/io/readiness_poller.py
@@ -12,7 +12,7 @@
 import socket
 from collections.abc import Callable
 
-MAX_POLL_ROUNDS = 4  # each round reads at most one buffer per connection; timers are delayed meanwhile
+MAX_POLL_ROUNDS = 10  # each round reads a connection once, 4 to 16 KiB; timers are delayed meanwhile
 MAX_POLLED_BYTES = 512 * 1024  # from all sockets together; no round starts once it is reached
 
 ReadyCallback = Callable[[int], int]  # parameter: the event mask; result: the number of bytes read
--- a/tests/test_heavy_senders.py
+++ b/tests/test_heavy_senders.py
@@ -79,7 +79,7 @@
 ) -> tuple[Senders, list[tuple[socket.socket, RecordingProtocol]]]:
     """Return connections that have used up their processing time and have more to be read."""
     clock = itertools.count(step=READ_S)
-    monkeypatch.setattr(reader, "time", SimpleNamespace(perf_counter=lambda: next(clock)))
+    monkeypatch.setattr(reader, "time", SimpleNamespace(thread_time=lambda: next(clock)))
     senders = Senders()
     heavy = [senders.connect() for _ in range(HEAVY_SENDERS)]
     for peer, _ in heavy:
