--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -13,7 +13,7 @@
 from stairhatch.node.memory_budgets import (
     PENDING_SETUP_BYTES,
 )
-from stairhatch.node.platform_registry import PlatformCall, PlatformRegistry
+from stairhatch.node.platform_registry import PendingSetups, PlatformCall, PlatformRegistry
 from stairhatch.node.platform_request import (
     ALLOW,
     METHODS,
@@ -23,7 +23,6 @@
     read_call_request,
 )
 from stairhatch.node.protocol import ConnectionProtocol
-from stairhatch.node.readiness import RETRY_AFTER_S
 
 MAX_UNUSABLE_REQUESTS = 8  # a connection is closed after this many unusable requests
 
@@ -38,8 +37,7 @@
         super().__init__()
         self.registry = registry
         self.call_manager = registry.call_manager
-        self.pending: dict[str, PlatformCall] = {}  # set-ups without a final response
-        self._pending_bytes = 0  # memory that they take
+        self.pending = PendingSetups(registry.pending_budget)  # without a final response
         self.established_calls: set[str] = set()  # set up on this connection and not known to have ended
         self.requests = 0
         self.is_caller = False  # got a non-health-check request, or none within CALLER_DETECTION_DELAY_S
@@ -49,7 +47,10 @@
         self._releases_sent: set[str] = set()  # call ids of unacknowledged releases sent on this connection
         self._parser = sip_parser.StreamParser(kept_headers=USED_HEADERS)
         self._output = CallerOutput(
-            self.call_manager.context, self.call_manager.timers, self._render_release, self._abort_as_unread
+            self.call_manager.context,
+            self.call_manager.timers,
+            registry.render_release,
+            self._abort_as_unread,
         )
 
     # ---- calls of the driver ----
@@ -138,7 +139,7 @@
         the end of the stream are answered when they are read.
         """
         self._peer_closed = True
-        for platform_call in list(self.pending.values()):
+        for platform_call in self.pending.values():
             call = platform_call.call
             self.abandon(platform_call)
             platform_call.respond(480 if call is None or call.is_retry_safe() else 500, [])
@@ -147,7 +148,7 @@
         """Abandon the pending set-ups and resend unacknowledged releases; established calls continue."""
         self.registry.connections.pop(self, None)
         self.registry.receive_budget.update(self, 0)
-        for platform_call in list(self.pending.values()):
+        for platform_call in self.pending.values():
             self.abandon(platform_call)
         self._output.clear()
         self.registry.deliveries.resend(self, self._releases_sent)
@@ -172,21 +173,6 @@
         self._output.append_release(call_id, cause, is_blocked=self.writing)
         self.notify_writable()
 
-    def _render_release(self, call_id: str, cause: int) -> bytes:
-        """Return the BYE of a call; no bytes if its release was acknowledged, or dropped, while it waited."""
-        if call_id not in self.registry.deliveries.pending:
-            return b""
-        self.call_manager.counters.add("sent_BYE")
-        headers = [
-            ("via", f"SIP/2.0/TCP stairhatch;branch={self.registry.next_branch()}"),
-            ("from", "<sip:stairhatch@net>;tag=stairhatch"),
-            ("to", "<sip:caller@net>"),
-            ("call-id", call_id),
-            ("cseq", "1 BYE"),
-            ("reason", f"Q.850;cause={cause}"),
-        ]
-        return sip.request("BYE", "sip:caller@net", headers)
-
     def _abort_as_unread(self, reason: UnreadReason) -> None:
         """Cut off a caller that does not read."""
         self.call_manager.counters.add("connections_slow_closed")
@@ -211,23 +197,11 @@
             self.is_caller = True
             self.registry.deliveries.deliver_waiting(self)
 
-    def remove_pending(self, call_id: str) -> None:
-        """Remove a set-up, if it is pending on this connection."""
-        platform_call = self.pending.pop(call_id, None)
-        if platform_call is not None:
-            self._pending_bytes -= platform_call.held_bytes
-            self.registry.pending_budget.total_bytes -= platform_call.held_bytes
-
-    def _add_pending(self, platform_call: PlatformCall) -> None:
-        self.pending[platform_call.call_id] = platform_call
-        self._pending_bytes += platform_call.held_bytes
-        self.registry.pending_budget.total_bytes += platform_call.held_bytes
-
     def abandon(self, platform_call: PlatformCall) -> None:
         """Remove a set-up that its caller has abandoned, and end its call."""
         call_id = platform_call.call_id
         self.registry.calls.pop(call_id, None)
-        self.remove_pending(call_id)
+        self.pending.remove(call_id)
         if platform_call.call is not None:
             self.call_manager.abandon(platform_call.call)
 
@@ -242,8 +216,11 @@
         if is_known and method != "OPTIONS" and not self.is_caller:
             self.identify_as_caller()
         match method:
-            case "":
-                self._response_received(message, call_id)
+            case "":  # the response to a BYE acknowledges a release
+                if message.cseq()[1] == "BYE" and call_id in self._releases_sent:
+                    self._releases_sent.discard(call_id)
+                    self.has_acknowledged = True
+                    self.registry.deliveries.acknowledged(call_id)
             case "INVITE":
                 self._invite_received(message, call_id)
             case "CANCEL":
@@ -257,13 +234,6 @@
             case _:
                 self._reject_unusable(message, 405, [("allow", ALLOW)])
 
-    def _response_received(self, message: sip.SipMessage, call_id: str) -> None:
-        """Handle a response to a BYE as the acknowledgement of a release; ignore other responses."""
-        if message.cseq()[1] == "BYE" and call_id in self._releases_sent:
-            self._releases_sent.discard(call_id)
-            self.has_acknowledged = True
-            self.registry.deliveries.acknowledged(call_id)
-
     def _cancel_received(self, message: sip.SipMessage, call_id: str) -> None:
         platform_call = self.registry.calls.get(call_id)
         if platform_call is not None:
@@ -280,7 +250,7 @@
     def _bye_received(self, message: sip.SipMessage, call_id: str) -> None:
         platform_call = self.registry.calls.pop(call_id, None)
         if platform_call is not None and platform_call.call is not None:
-            platform_call.connection.remove_pending(call_id)
+            platform_call.connection.pending.remove(call_id)
             platform_call.connection.established_calls.discard(call_id)
             self.call_manager.release(platform_call.call, sip.release_cause(message))
         elif not self.registry.deliveries.acknowledged(call_id):
@@ -321,27 +291,18 @@
             self.respond(message, 480, [])
             return
         if call_manager.readiness.rejects_new_calls():
-            self._reject_setup(message, call_id, "draining")
+            registry.reject_setup(self, message, "draining")
             return
         echo = sip.render_echo(message)
         held_bytes = PENDING_SETUP_BYTES + len(echo) + len(message.body)
-        if not registry.pending_budget.has_room(self._pending_bytes, held_bytes):
-            self._reject_setup(message, call_id, "memory")
+        if not self.pending.has_room(held_bytes):
+            registry.reject_setup(self, message, "memory")
             return
         platform_call = PlatformCall(self, call_id, echo, held_bytes)
         registry.calls[call_id] = platform_call
-        self._add_pending(platform_call)
+        self.pending.add(platform_call)
         call = call_manager.offer_call(request, platform_call)
         if call is None:
             platform_call.respond(482, [])
         if call_id in registry.calls:
             platform_call.call = call
-
-    def _reject_setup(self, message: sip.SipMessage, call_id: str, reason: str) -> None:
-        """Respond 503 to a set-up that is not offered; another softswitch may accept it."""
-        call_manager = self.call_manager
-        call_manager.counters.add(f"calls_rejected_{reason}")
-        if call_manager.context.tracing:
-            call_manager.log("call_rejected", call=call_id, why=reason)
-        advice = [("come-back-ms", str(int(RETRY_AFTER_S * 1000)))]
-        self.respond(message, 503, advice if call_manager.settings.may_send_retry_after else [])
--- a/stairhatch/node/platform_registry.py
+++ b/stairhatch/node/platform_registry.py
@@ -11,6 +11,7 @@
 from stairhatch.node.call_manager import CallManager
 from stairhatch.node.calls import Call
 from stairhatch.node.memory_budgets import MemoryLimits, PendingBudget, ReceiveBudget
+from stairhatch.node.readiness import RETRY_AFTER_S
 from stairhatch.node.release_delivery import ReleaseChannel, ReleaseDelivery
 
 MAX_EARLY_CANCELS = 4096  # limit on the ids of set-ups whose CANCEL arrived first, on another connection
@@ -20,6 +21,7 @@
     """The interface of a connection of callers that its calls and the registry use."""
 
     registry: PlatformRegistry
+    pending: PendingSetups
     established_calls: set[str]  # set up on the connection and not known to have ended
     notify_writable: Callable[[], None]
 
@@ -29,8 +31,8 @@
     def respond_to(self, echo: bytes, status: int, extra: sip.Headers, body: bytes = b"") -> None:
         """Queue a response that begins with the rendered header lines `echo`."""
 
-    def remove_pending(self, call_id: str) -> None:
-        """Remove a set-up, if it is pending on this connection."""
+    def respond(self, request: sip.SipMessage, status: int, extra: sip.Headers, body: bytes = b"") -> None:
+        """Queue a response to a request; `extra` are headers beyond those copied from the request."""
 
     def abandon(self, platform_call: PlatformCall) -> None:
         """Remove a set-up that its caller has abandoned, and end its call."""
@@ -48,7 +50,7 @@
 
     def respond(self, status: int, extra: sip.Headers, body: bytes = b"") -> None:
         """Send the final response to the set-up; called once."""
-        self.connection.remove_pending(self.call_id)
+        self.connection.pending.remove(self.call_id)
         self.connection.respond_to(self.echo, status, extra, body)
         self.echo = b""
         if status >= 300:
@@ -78,6 +80,45 @@
         self.connection.registry.release(self.call_id, cause, self.connection)
 
 
+class PendingSetups:
+    """The set-ups of one connection that have no final response, and the memory that they take."""
+
+    def __init__(self, budget: PendingBudget) -> None:
+        """Start empty; `budget` is that of all connections."""
+        self._budget = budget
+        self._calls: dict[str, PlatformCall] = {}  # by call id
+        self._held_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of set-ups."""
+        return len(self._calls)
+
+    def __contains__(self, call_id: str) -> bool:
+        """Return whether the set-up with this call id is pending."""
+        return call_id in self._calls
+
+    def values(self) -> list[PlatformCall]:
+        """Return the set-ups, oldest first."""
+        return list(self._calls.values())
+
+    def has_room(self, added_bytes: int) -> bool:
+        """Return whether a further set-up of this size may wait."""
+        return self._budget.has_room(self._held_bytes, added_bytes)
+
+    def add(self, platform_call: PlatformCall) -> None:
+        """Add a set-up."""
+        self._calls[platform_call.call_id] = platform_call
+        self._held_bytes += platform_call.held_bytes
+        self._budget.total_bytes += platform_call.held_bytes
+
+    def remove(self, call_id: str) -> None:
+        """Remove a set-up if it is pending."""
+        platform_call = self._calls.pop(call_id, None)
+        if platform_call is not None:
+            self._held_bytes -= platform_call.held_bytes
+            self._budget.total_bytes -= platform_call.held_bytes
+
+
 class PlatformRegistry:
     """Registry shared by all platform connections: the connections, their calls and pending releases."""
 
@@ -122,3 +163,27 @@
             return False
         del self._early_cancels[call_id]
         return True
+
+    def reject_setup(self, connection: CallerConnection, message: sip.SipMessage, reason: str) -> None:
+        """Respond 503 to a set-up that is not offered; another softswitch may accept it."""
+        call_manager = self.call_manager
+        call_manager.counters.add(f"calls_rejected_{reason}")
+        if call_manager.context.tracing:
+            call_manager.log("call_rejected", call=message.get("call-id"), why=reason)
+        advice = [("come-back-ms", str(int(RETRY_AFTER_S * 1000)))]
+        connection.respond(message, 503, advice if call_manager.settings.may_send_retry_after else [])
+
+    def render_release(self, call_id: str, cause: int) -> bytes:
+        """Return the BYE of a call; no bytes if its release was acknowledged, or dropped, while it waited."""
+        if call_id not in self.deliveries.pending:
+            return b""
+        self.call_manager.counters.add("sent_BYE")
+        headers = [
+            ("via", f"SIP/2.0/TCP stairhatch;branch={self.next_branch()}"),
+            ("from", "<sip:stairhatch@net>;tag=stairhatch"),
+            ("to", "<sip:caller@net>"),
+            ("call-id", call_id),
+            ("cseq", "1 BYE"),
+            ("reason", f"Q.850;cause={cause}"),
+        ]
+        return sip.request("BYE", "sip:caller@net", headers)
