--- a/stairhatch/node/io/reader.py
+++ b/stairhatch/node/io/reader.py
@@ -168,10 +168,13 @@
     def _process(self, connection: AcceptedConnection, data: memoryview) -> None:
         """Pass received bytes to the protocol and note the state of the connection after it."""
         protocol = connection.protocol
+        requests_before = protocol.requests
         protocol.receive_data(data)
         connection.received_at = now = self._loop.time()
-        is_partial = protocol.has_partial_message()
-        connection.partial_since = (connection.partial_since or now) if is_partial else 0.0
+        if not protocol.has_partial_message():
+            connection.partial_since = 0.0
+        elif not connection.partial_since or protocol.requests > requests_before:
+            connection.partial_since = now
         if connection.idle_order is not None and connection in connection.idle_order:
             connection.idle_order.move_to_end(connection)
         if protocol.can_close():
--- a/stairhatch/node/memory_budgets.py
+++ b/stairhatch/node/memory_budgets.py
@@ -54,9 +54,15 @@
         self._limit_bytes = limit_bytes
         self._held: OrderedDict[PartialMessageHolder, int] = OrderedDict()  # bytes; the oldest message first
 
-    def update(self, holder: PartialMessageHolder, held_bytes: int) -> None:
-        """Note how many bytes a connection holds, and give up the oldest messages above the limit."""
+    def update(self, holder: PartialMessageHolder, held_bytes: int, is_new_message: bool = False) -> None:
+        """Note how many bytes a connection holds, and give up the oldest messages above the limit.
+
+        `is_new_message` says that the connection has completed a message since the last update, so that what
+        it holds now is younger: a busy connection holds the beginning of some message nearly always.
+        """
         self.total_bytes += held_bytes - self._held.get(holder, 0)
+        if is_new_message:
+            self._held.pop(holder, None)
         if held_bytes:
             self._held[holder] = held_bytes
         else:
--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -100,6 +100,7 @@
             return
         self.registry.mark_active(self)
         self._parser.feed(data)
+        requests_before = self.requests
         try:
             while not self.closing and (message := self._parser.next_message()) is not None:
                 self.request_received = True
@@ -112,7 +113,8 @@
                 self.respond(error.partial, error.status, [])
             self._parser.discard()
             self._close_when_written()
-        self.registry.receive_budget.update(self, self._parser.buffered_bytes)
+        has_completed = self.requests > requests_before
+        self.registry.receive_budget.update(self, self._parser.buffered_bytes, has_completed)
 
     def drop_partial_message(self) -> None:
         """Respond 503 to an incomplete request, if its head was received, and close."""
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -140,3 +140,17 @@
     assert frontend.registry.pending_budget.total_bytes == 0
     answered = flooding.data_to_send().count(b"SIP/2.0 ")
     assert answered == len(idents), "each set-up has its answer"
+
+
+def test_a_busy_connection_is_spared_by_the_limit_on_incomplete_messages() -> None:
+    """Guards against a caller that is cut off because its stream is always cut within some message."""
+    node = InProcessNode()
+    frontend = PlatformFrontend(node.call_manager, MemoryLimits(receive_bytes=100_000))
+    busy = frontend.connect()
+    stream = b"".join(platform_invite(next_call_id()) for _ in range(CONNECTIONS))
+    piece_bytes = len(stream) // CONNECTIONS + 1
+    for number in range(CONNECTIONS - 1):
+        busy.receive_data(stream[number * piece_bytes : (number + 1) * piece_bytes])
+        assert busy.has_partial_message()
+        frontend.connect().receive_data(platform_invite("0" * 16, body=b"x" * 12_000)[:-1])
+    assert not busy.closing
--- a/tests/test_heavy_senders.py
+++ b/tests/test_heavy_senders.py
@@ -132,3 +132,35 @@
         assert protocol.has_peer_closed
 
     uvloop.run(play())
+
+
+class CountingProtocol(RecordingProtocol):
+    """A protocol whose every read completes a request and leaves the beginning of another."""
+
+    counts_requests = True
+
+    def receive_data(self, data: bytes | memoryview) -> None:
+        super().receive_data(data)
+        self.requests += 1
+
+    def has_partial_message(self) -> bool:
+        return True
+
+
+def test_an_incomplete_message_counts_as_new_after_each_request() -> None:
+    """Guards against a busy connection that is timed out because its reads always end within a message."""
+
+    async def play() -> None:
+        senders = Senders()
+        peer, sock = socket.socketpair()
+        loop = asyncio.get_running_loop()
+        connection = AcceptedConnection(CountingProtocol(senders.received), sock, loop.time())
+        senders.reader.start(connection)
+        peer.sendall(b"request and")
+        await turns_until(lambda: len(senders.received) == 1)
+        connection.partial_since = long_ago = 1.0
+        peer.sendall(b"the rest of it, and")
+        await turns_until(lambda: len(senders.received) == 2)
+        assert connection.partial_since > long_ago
+
+    uvloop.run(play())
