Keep the forwarder of unknown releases going, and free of closed connections

Where over 8,192 connections had one release each waiting, dropping the newest left an empty queue, which the next turn failed on. Waiting releases also kept the closed connection that brought them.

Change: an emptied queue is removed; a connection is named by a plain token.

--- a/stairhatch/node/call_manager.py
+++ b/stairhatch/node/call_manager.py
@@ -216,7 +216,7 @@
         """Send a caller's release of an unregistered call to every roster server that is not gone.
 
         The call was set up before a restart of this process, which has no record of its server. A call that
-        has terminated here recently is ignored. `source` is the connection that brought the release.
+        has terminated here recently is ignored. `source` stands for the connection that brought it.
         """
         if self.calls.was_terminated(ident):
             return  # the call has terminated here: the releases of both sides crossed
--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -41,6 +41,7 @@
         self.established_calls: set[str] = set()  # set up on this connection and not known to have ended
         self.requests = 0
         self.is_caller = False  # got a non-health-check request, or none within CALLER_DETECTION_DELAY_S
+        self._release_source = object()  # stands for the connection where releases wait, and outlives it
         self.has_acknowledged = False  # a release was acknowledged on this connection
         self._unusable_requests = 0
         self._peer_closed = False  # data received before may still be unread
@@ -256,7 +257,7 @@
             platform_call.connection.established_calls.discard(call_id)
             self.call_manager.release(platform_call.call, sip.release_cause(message))
         elif not self.registry.deliveries.acknowledged(call_id):
-            self.call_manager.release_unknown(call_id, sip.release_cause(message), self)
+            self.call_manager.release_unknown(call_id, sip.release_cause(message), self._release_source)
         self.respond(message, 200, [])
 
     def _reject_unusable(
--- a/stairhatch/node/unknown_releases.py
+++ b/stairhatch/node/unknown_releases.py
@@ -46,7 +46,10 @@
         return not self._queues
 
     def add(self, source: Hashable, release: UnknownRelease) -> None:
-        """Forward a release at once if the rate permits and none waits; otherwise queue it for its source."""
+        """Forward a release at once if the rate permits and none waits; otherwise queue it for its source.
+
+        A source is kept while releases of it wait, so it should hold no connection.
+        """
         queue = self._queues.setdefault(source, deque())
         if len(queue) >= MAX_WAITING_PER_SOURCE:
             self._context.counters.add("releases_of_unknown_calls_dropped")
@@ -84,7 +87,9 @@
             self._forward(release)
 
     def _drop_newest_of_longest(self) -> None:
-        longest = max(self._queues.values(), key=len)
+        source, longest = max(self._queues.items(), key=lambda item: len(item[1]))
         longest.pop()
+        if not longest:
+            del self._queues[source]
         self._waiting -= 1
         self._context.counters.add("releases_of_unknown_calls_dropped")
--- a/tests/test_unknown_releases.py
+++ b/tests/test_unknown_releases.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
+
 from stairhatch.node import sip_message as sip
 from stairhatch.node.platform_connection import PlatformConnection
 from stairhatch.node.platform_frontend import PlatformFrontend
 from stairhatch.node.send_queue import MAX_QUEUED_SETUPS
+from stairhatch.node.unknown_releases import FORWARDED_PER_INTERVAL, MAX_WAITING
 
 from .support.call_ids import next_call_id
 from .support.in_process_node import InProcessNode
@@ -58,3 +62,32 @@
     node.releases.clear()
     node.establish()
     assert node.releases == [(ident, 16)]
+
+
+def test_releases_of_unknown_calls_from_ever_new_connections_are_forwarded_to_the_limit() -> None:
+    """Guards against a forwarder that stops, as too many connections have one release each."""
+    node = InProcessNode()
+    frontend = PlatformFrontend(node.call_manager)
+    for _ in range(MAX_WAITING + 100):
+        connection = frontend.connect()
+        send_bye(connection, next_call_id())
+        connection.connection_lost()
+    node.run(20.0)
+    assert len(node.releases) == MAX_WAITING + FORWARDED_PER_INTERVAL
+    assert node.call_manager.unknown_releases.is_empty()
+
+
+def test_releases_that_wait_do_not_keep_their_connection() -> None:
+    """Guards against memory for connections that have closed, as their releases wait."""
+    node = InProcessNode()
+    frontend = PlatformFrontend(node.call_manager)
+    connection = frontend.connect()
+    for _ in range(FLOOD):
+        send_bye(connection, next_call_id())
+    connection.connection_lost()
+    closed = weakref.ref(connection)
+    del connection
+    node.run(0.2)  # the timers that identify silent callers end
+    gc.collect()
+    assert not node.call_manager.unknown_releases.is_empty()
+    assert closed() is None
