Share reading credit among active connections, and count heavy senders

Credit was shared among all open connections, so that one with a few per cent of the processor counted as heavy beside many idle ones, and its CANCEL was seen later. A system without a clock of a thread's processor time would have left every connection unread. Nothing told whoever is on call that connections are read in turn.

Change: credit is shared among connections read in the last one to two seconds; elapsed time is charged where there is no other clock; counter connections_heavy.

Tests: idle connections leave their credit, active ones share it: each fails with the count fixed at 100 or 1.

--- a/stairhatch/node/attempts.py
+++ b/stairhatch/node/attempts.py
@@ -192,17 +192,7 @@
         call.attempt = None
         if withdrawn or (outcome in UNCLEAR_OUTCOMES and attempt.written):
             call.pause_until = now + self.context.settings.safety.retry_pause_s + PAUSE_MARGIN_S
-        self.context.counters.add("outcome_" + outcome.value.replace(" ", "_"))
-        if self.context.tracing:
-            self.context.log(
-                "attempt_ended",
-                call=call.request.ident,
-                attempt=attempt.number,
-                outcome=outcome.value,
-                written=attempt.written,
-                note=note,
-                withdrawn=withdrawn,
-            )
+        self._record_end(attempt, outcome, note, withdrawn)
         if call.caller_disconnected and call.state is CallState.OFFERED:
             self.answers.give_without_decision(call)
         self.dispatcher.dispatch(
@@ -220,6 +210,20 @@
             )
         )
 
+    def _record_end(self, attempt: Attempt, outcome: AttemptOutcome, note: str, withdrawn: bool) -> None:
+        """Count the outcome of an attempt, and log it if steps are logged."""
+        self.context.counters.add("outcome_" + outcome.value.replace(" ", "_"))
+        if self.context.tracing:
+            self.context.log(
+                "attempt_ended",
+                call=attempt.call.request.ident,
+                attempt=attempt.number,
+                outcome=outcome.value,
+                written=attempt.written,
+                note=note,
+                withdrawn=withdrawn,
+            )
+
     def _is_permitted(self, attempt: Attempt) -> bool:
         """Whether the rules of the call and the server permit the attempt, now or after the retry pause."""
         call, server = attempt.call, attempt.server
--- a/stairhatch/node/io/accepted_connection.py
+++ b/stairhatch/node/io/accepted_connection.py
@@ -43,6 +43,7 @@
     loss_reported: bool = False  # the protocol has been notified of the loss of the connection
     credit_s: float = 0.0  # processing time that the connection may use at once; see `heavy_senders`
     credited_at: float = 0.0
+    active_period: int = -1  # the last period in which the connection was read
     requests_seen: int = 0  # the protocol's request count at the last check
     requests_seen_at: float = 0.0  # when that count was last seen to change
 
--- a/stairhatch/node/io/connection_runner.py
+++ b/stairhatch/node/io/connection_runner.py
@@ -33,10 +33,13 @@
         self.tasks = tasks
         self.buffer_pool = BufferPool()
         self.poller = ReadinessPoller(self._log_fault)
-        self._caller_reader = CallerReader(loop, self.poller, self._log_fault)
+        self._caller_reader = CallerReader(loop, self.poller, self._log_fault, self._count_heavy_sender)
         self._pooled_reader = PooledReader(loop, self.buffer_pool)
         self._writer = Writer(loop, self._log_fault)
 
+    def _count_heavy_sender(self) -> None:
+        self.call_manager.counters.add("connections_heavy")
+
     def start_reading(self, connection: AcceptedConnection, idle_order: IdleOrder | None = None) -> None:
         """Start reading a caller's connection at once instead of when its task first runs.
 
--- a/stairhatch/node/io/heavy_senders.py
+++ b/stairhatch/node/io/heavy_senders.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -16,13 +17,23 @@
 
 MAX_CREDIT_S = 0.03  # processing time that a connection may use at once, and the most that it may owe
 FIRST_CREDIT_S = 0.002
-SHARED_RATE = 0.5  # seconds of processing time that all connections together earn per second
+SHARED_RATE = 0.5  # seconds of processing time that all active connections together earn per second
+ACTIVE_PERIOD_S = 1.0  # a connection that was read in this period or the one before is active
 HEAVY_READ_BYTES = 2048
 LIGHT_READ_BYTES = 16 * 1024
 SHORT_CREDIT_S = 0.01  # a connection with less is read in smaller pieces
 SHORT_CREDIT_READ_BYTES = 4096
 
 
+def processor_clock() -> Callable[[], float]:
+    """Return a clock of this thread's processor time in seconds, or of elapsed time where there is none."""
+    try:
+        time.thread_time()
+    except OSError:
+        return time.perf_counter
+    return time.thread_time
+
+
 class EventLoop(Protocol):
     """The part of the event loop that is used here."""
 
@@ -48,26 +59,35 @@
         self._loop = loop
         self._read = read
         self._queue: deque[HeavySender] = deque()
-        self._connections = 0
+        self._period = 0  # the number of the present period
+        self._active = 0  # connections read in the present period
+        self._active_before = 0  # connections read in the period before
 
     def connection_added(self, connection: AcceptedConnection) -> None:
-        """Count a connection, and give it its first credit."""
-        self._connections += 1
+        """Give a connection its first credit."""
         connection.credit_s = FIRST_CREDIT_S
         connection.credited_at = self._loop.time()
 
-    def connection_removed(self) -> None:
-        """Stop counting a connection."""
-        self._connections -= 1
-
     def charge(self, connection: AcceptedConnection, seconds: float = 0.0) -> None:
         """Credit a connection what it has earned, and charge processing time to it."""
         now = self._loop.time()
-        earned_s = (now - connection.credited_at) * SHARED_RATE / max(1, self._connections)
+        self._count_active(connection, int(now / ACTIVE_PERIOD_S))
+        active = max(1, self._active, self._active_before)
+        earned_s = (now - connection.credited_at) * SHARED_RATE / active
         credit_s = min(MAX_CREDIT_S, connection.credit_s + earned_s) - seconds
         connection.credit_s = max(-MAX_CREDIT_S, credit_s)
         connection.credited_at = now
 
+    def _count_active(self, connection: AcceptedConnection, period: int) -> None:
+        """Count a connection as active in a period; idle connections take nothing from the others' credit."""
+        if period != self._period:
+            self._active_before = self._active if period == self._period + 1 else 0
+            self._active = 0
+            self._period = period
+        if connection.active_period != period:
+            connection.active_period = period
+            self._active += 1
+
     @staticmethod
     def is_heavy(connection: AcceptedConnection) -> bool:
         """Return whether a connection has used up its credit."""
--- a/stairhatch/node/io/reader.py
+++ b/stairhatch/node/io/reader.py
@@ -10,13 +10,13 @@
 import asyncio
 import select
 import socket
-import time
+from collections.abc import Callable
 from functools import partial
 
 from stairhatch.node.io.accepted_connection import AcceptedConnection, IdleOrder
-from stairhatch.node.io.heavy_senders import LIGHT_READ_BYTES, HeavySenders
+from stairhatch.node.io.heavy_senders import LIGHT_READ_BYTES, HeavySenders, processor_clock
 from stairhatch.node.io.readiness_poller import FaultHandler, ReadinessPoller
-from stairhatch.node.protocol import ConnectionProtocol
+from stairhatch.node.protocol import ConnectionProtocol, do_nothing
 
 BUFFER_BYTES = 16 * 1024  # size of each receive buffer
 MAX_FREE_BUFFERS = 64
@@ -53,12 +53,21 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, poller: ReadinessPoller, on_fault: FaultHandler
+        self,
+        loop: asyncio.AbstractEventLoop,
+        poller: ReadinessPoller,
+        on_fault: FaultHandler,
+        on_heavy: Callable[[], None] = do_nothing,
     ) -> None:
-        """Register connections with `loop` and `poller`; exceptions of protocols go to `on_fault`."""
+        """Register connections with `loop` and `poller`; exceptions of protocols go to `on_fault`.
+
+        `on_heavy` is called when a connection becomes a heavy sender.
+        """
         self._loop = loop
         self._poller = poller
         self._on_fault = on_fault
+        self._on_heavy = on_heavy
+        self._processor_time = processor_clock()
         self._heavy_senders = HeavySenders(loop, self._read_in_time)
         # All connections share this buffer: its content is processed before the next read.
         self._buffer = memoryview(bytearray(LIGHT_READ_BYTES))
@@ -79,6 +88,7 @@
 
     def _defer(self, connection: AcceptedConnection) -> None:
         """Read a heavy sender in turn, and let the poller report only its close."""
+        self._on_heavy()
         self._loop.remove_reader(connection.sock)
         self._poller.unregister(connection.sock)
         self._poller.register(connection.sock, partial(self._note_close, connection), select.POLLRDHUP)
@@ -105,7 +115,6 @@
         """
         if connection.reading_ended is not None and not connection.reading_ended.done():
             connection.reading_ended.set_result(peer_may_send)
-            self._heavy_senders.connection_removed()
             self._loop.remove_reader(connection.sock)
             self._poller.unregister(connection.sock)
 
@@ -130,10 +139,10 @@
 
     def _read_in_time(self, connection: AcceptedConnection, events: int = 0) -> int:
         """Read a connection once, and charge it the processor time of this thread."""
-        started_at = time.thread_time()
+        started_at = self._processor_time()
         buffer = self._buffer[: self._heavy_senders.read_bytes(connection)]
         size = self._read(connection, buffer, events)
-        self._heavy_senders.charge(connection, time.thread_time() - started_at)
+        self._heavy_senders.charge(connection, self._processor_time() - started_at)
         return size
 
     def _read(self, connection: AcceptedConnection, buffer: memoryview, events: int = 0) -> int:
--- a/tests/test_heavy_senders.py
+++ b/tests/test_heavy_senders.py
@@ -13,7 +13,7 @@
 
 from stairhatch.node.io import reader
 from stairhatch.node.io.accepted_connection import AcceptedConnection
-from stairhatch.node.io.heavy_senders import HEAVY_READ_BYTES
+from stairhatch.node.io.heavy_senders import HEAVY_READ_BYTES, HeavySenders
 from stairhatch.node.io.reader import CallerReader
 from stairhatch.node.io.readiness_poller import ReadinessPoller
 from stairhatch.node.protocol import ConnectionProtocol
@@ -79,7 +79,7 @@
 ) -> tuple[Senders, list[tuple[socket.socket, RecordingProtocol]]]:
     """Return connections that have used up their processing time and have more to be read."""
     clock = itertools.count(step=READ_S)
-    monkeypatch.setattr(reader, "time", SimpleNamespace(thread_time=lambda: next(clock)))
+    monkeypatch.setattr(reader, "processor_clock", lambda: lambda: next(clock))
     senders = Senders()
     heavy = [senders.connect() for _ in range(HEAVY_SENDERS)]
     for peer, _ in heavy:
@@ -164,3 +164,31 @@
         assert connection.partial_since > long_ago
 
     uvloop.run(play())
+
+
+def test_idle_connections_leave_their_credit_to_those_in_use() -> None:
+    """Guards against a caller that counts as heavy beside many idle connections: its CANCEL is seen later."""
+    now = 1000.0
+    senders = HeavySenders(SimpleNamespace(time=lambda: now, call_soon=None), lambda _connection: 0)
+    connections = [AcceptedConnection(ConnectionProtocol(), None, now) for _ in range(100)]
+    for connection in connections:
+        senders.connection_added(connection)
+        senders.charge(connection)
+    for _ in range(50):
+        now += 0.1
+        senders.charge(connections[0], 0.008)  # 8 in 100 of the processor
+    assert not senders.is_heavy(connections[0])
+
+
+def test_active_connections_share_the_credit() -> None:
+    """Guards against many connections that are all read at once since none is heavy by itself."""
+    now = 1000.0
+    senders = HeavySenders(SimpleNamespace(time=lambda: now, call_soon=None), lambda _connection: 0)
+    connections = [AcceptedConnection(ConnectionProtocol(), None, now) for _ in range(100)]
+    for connection in connections:
+        senders.connection_added(connection)
+    for _ in range(20):
+        now += 0.5
+        for connection in connections:
+            senders.charge(connection, 0.005)  # 100 in 100 of the processor together
+    assert all(map(senders.is_heavy, connections))
