Let a new configuration leave out what is optional or undocumented

What callers saw: a new file adds a class without `aim_stretch`, which may be absent, and names another coordinator.

Cause: a reload required of the new file every key of the file in force, and of an added class every key that all classes in force have.

Change: the schema names the documented keys that the program does not read as well, and which are optional or depend on another key (allowed_pools with pools; peers, peers_all and peer_listen with permissions.peers). `settings/lost_keys.py` rejects a file that has lost a documented, required key and returns what else is gone, which the log line of the reload tells as `left_out`. What was never in force is not asked for, so the start and a reload of a sparse file are as before. The condition for allowed_pools moved from the parser into the schema.

--- a/stairhatch/config/model.py
+++ b/stairhatch/config/model.py
@@ -42,7 +42,7 @@
     tracing: bool = False
     fleet: FleetConfig | None = None  # the appliance's membership in a fleet
     scope: ScopeConfig | None = None  # the servers to connect to; None: all servers of the endpoint list
-    raw: Any = None  # the decoded file; a reload is rejected if it lacks one of these keys
+    raw: Any = None  # the decoded file; a reload is rejected if it lacks a required key of it
 
 
 def checked_settings(raw: Any, complete: bool) -> Settings:
--- a/stairhatch/config/platform.py
+++ b/stairhatch/config/platform.py
@@ -14,21 +14,37 @@
 from stairhatch.node.address import AddressError, parse_address
 from stairhatch.node.endpoint_list import ServiceDiscoveryError, parse_answer
 from stairhatch.settings.errors import SettingsError
-from stairhatch.settings.schema import MAX_COUNT, NumberShape, ObjectShape, TextShape, validate
+from stairhatch.settings.schema import (
+    MAX_COUNT,
+    SETTINGS_SCHEMA,
+    Condition,
+    NumberShape,
+    ObjectShape,
+    TextShape,
+    unused_keys,
+    validate,
+)
 
 RESTART_DRAIN_S = 3.0  # in a planned restart, in which the platform sends SIGKILL after SIGTERM
 UPGRADE_DRAIN_S = 5.0  # in an upgrade, where another process takes over the listening socket
 LIMIT = NumberShape(1, MAX_COUNT)
+PEER_KEYS = ("peers", "peers_all", "peer_listen")  # addresses of datagrams between softswitches
 FILE_SCHEMA = ObjectShape(
     {
         "name": TextShape(),
         "seed": TextShape(),
-        "limits": ObjectShape({"sockets": LIMIT, "memory_mb": LIMIT}),
+        "limits": ObjectShape({"sockets": LIMIT, "memory_mb": LIMIT}, unused=unused_keys("cores")),
         "settings": ObjectShape({}),  # checked by the settings parser
-        "known": ObjectShape({}),
+        "known": ObjectShape({}, unused=unused_keys("index", "updates")),  # checked as a coordinator's answer
     },
-    optional=frozenset(("name", "seed")),  # RELAY_NAME may set the name; without a seed, one is random
+    defaulted=frozenset(("name", "seed")),  # RELAY_NAME may set the name; without a seed, one is random
+    unused=unused_keys(
+        *("listen", "coordinator", "console"),  # checked as addresses
+        *PEER_KEYS,
+    ),
+    conditions=dict.fromkeys(PEER_KEYS, Condition(("settings", "permissions", "peers"), value=True)),
 )
+RELOAD_SCHEMA = FILE_SCHEMA._replace(keys={**FILE_SCHEMA.keys, "settings": SETTINGS_SCHEMA})
 
 
 def read_platform(environ: Mapping[str, str]) -> Config:
--- a/stairhatch/reload.py
+++ b/stairhatch/reload.py
@@ -1,8 +1,9 @@
 """Reloads the configuration at SIGHUP: rejects it as a whole, or applies it without ending calls.
 
 An unusable configuration changes nothing (log line `reload result=rejected why=...`). Keys that only a
-restart can change keep their values and are named in the log (`restart_required`). The console command
-`status` shows the last result.
+restart can change keep their values and are named in the log (`restart_required`), as are the optional and
+undocumented keys in force that the new configuration leaves out (`left_out`). The console command `status`
+shows the last result.
 """
 
 from __future__ import annotations
@@ -14,13 +15,15 @@
 
 from stairhatch.components import Components
 from stairhatch.config.model import Config, ConfigError
+from stairhatch.config.platform import RELOAD_SCHEMA
 from stairhatch.node.calls import ServerRecord
 from stairhatch.node.endpoint_list import ServiceDiscoveryError, apply_answer, parse_answer
-from stairhatch.settings.errors import LostKeyError
-from stairhatch.settings.schema import check_no_key_lost
+from stairhatch.settings.errors import SettingsError
+from stairhatch.settings.lost_keys import check_no_key_lost
 
 # Keys that keep their value until a restart, besides those that a component refuses to change.
 RESTART_KEYS = ("name", "listen", "console", "sockets", "memory_mb", "syslog", "fleet")
+MAX_LOGGED_PATHS = 10  # of the keys that a configuration leaves out
 
 
 class ReloadRejected(NamedTuple):
@@ -53,12 +56,20 @@
 
     config: Config
     servers: list[ServerRecord]  # the servers that the configuration lists
+    left_out: list[str]  # paths of the keys in force that it lacks, none of which is required
 
 
 def _joined_names(names: Iterable[str]) -> str:
     return ",".join(names) or "-"
 
 
+def _joined_paths(paths: list[str]) -> str:
+    """Return the first paths for the log, and the number of the others."""
+    shown = paths[:MAX_LOGGED_PATHS]
+    hidden = len(paths) - len(shown)
+    return _joined_names([*shown, f"+{hidden}"] if hidden else shown)
+
+
 class ConfigReloader:
     """Holds the configuration in effect and replaces it at a reload.
 
@@ -79,7 +90,7 @@
         """
         try:
             candidate = self._read()
-        except (ConfigError, LostKeyError, ServiceDiscoveryError) as error:
+        except (ConfigError, SettingsError, ServiceDiscoveryError) as error:
             result: ReloadResult = ReloadRejected(str(error))
             self._parts.counters.add("reloads_rejected")
             self._parts.log("reload", result="rejected", why=str(error))
@@ -91,14 +102,14 @@
     def _read(self) -> _Candidate:
         """Read and validate the configuration without changing anything.
 
-        Raises ConfigError, LostKeyError or ServiceDiscoveryError if it is unusable.
+        Raises ConfigError, SettingsError or ServiceDiscoveryError if it is unusable.
         """
         new = self._read_config()
         listed = parse_answer(new.known, 0).events
-        check_no_key_lost(self.config.raw, new.raw)
+        left_out = check_no_key_lost(self.config.raw, new.raw, RELOAD_SCHEMA)
         if (new.coordinator is None) is not (self.config.coordinator is None):
             raise ConfigError("a coordinator in place of listed servers, or the reverse, requires a restart")
-        return _Candidate(new, listed[0].endpoints if listed else [])
+        return _Candidate(new, listed[0].endpoints if listed else [], left_out)
 
     def _apply(self, candidate: _Candidate) -> ReloadApplied:
         old = self.config
@@ -111,7 +122,7 @@
         restart_keys = self._apply_sip(new) + self._changed_restart_keys(old, new)
         self.config = self._effective_config(old, new, restart_keys)
         self._parts.counters.add("reloads")
-        self._log_applied(old, new, restart_keys)
+        self._log_applied(old, new, restart_keys, candidate.left_out)
         return ReloadApplied(self._parts.clock(), restart_keys)
 
     def _apply_servers(self, old: Config, candidate: _Candidate) -> None:
@@ -157,7 +168,9 @@
         kept = {key: getattr(old, key) for key in restart_keys if key != "sip"}
         return replace(new, sip=frontend.config if frontend is not None else new.sip, **kept)
 
-    def _log_applied(self, old: Config, new: Config, restart_keys: tuple[str, ...]) -> None:
+    def _log_applied(
+        self, old: Config, new: Config, restart_keys: tuple[str, ...], left_out: list[str]
+    ) -> None:
         before = [each.name for each in old.settings.classes]
         now = [each.name for each in new.settings.classes]
         self._parts.log(
@@ -169,4 +182,5 @@
             added=_joined_names(name for name in now if name not in before),
             removed=_joined_names(name for name in before if name not in now),
             restart_required=_joined_names(restart_keys),
+            left_out=_joined_paths(left_out),
         )
--- a/stairhatch/settings/parser.py
+++ b/stairhatch/settings/parser.py
@@ -15,7 +15,6 @@
 
 JSON_PATH = "boot_info"  # name of the settings on the wire; each key's path starts with it
 IDEMPOTENT_EFFECT = "read_like"
-POOLS_LAYOUT = "pools"
 
 
 class ParsedSettings(NamedTuple):
@@ -45,7 +44,7 @@
     defaults. Raises SettingsError if a key cannot be used, or with `complete` if one is missing.
     """
     validate(raw, SETTINGS_SCHEMA, path, complete=complete)
-    _check_consistency(raw, path, complete)
+    _check_consistency(raw, path)
     try:
         settings = _settings(raw)
     except ValueError as error:
@@ -53,11 +52,10 @@
     return ParsedSettings(settings, tuple(raw.get("load_report", {}).get("names", ())))
 
 
-def _check_consistency(raw: dict[str, Any], path: str, complete: bool) -> None:
+def _check_consistency(raw: dict[str, Any], path: str) -> None:
     """Check rules across keys: a list entry for each class, and `me` below `balancers`.
 
-    Raises SettingsError if a rule is violated or `classes` is missing; with `complete`, also if
-    `allowed_pools` is missing and the layout requires it.
+    Raises SettingsError if a rule is violated or `classes` is missing.
     """
     balancers = raw.get("balancers", 1)
     if raw.get("me", 0) >= balancers:
@@ -71,9 +69,6 @@
             raise SettingsError(
                 f"{path}.family_info.{name}: must have an entry for each of {classes} classes"
             )
-    meets_layout = "allowed_pools" in family or family.get("layout", POOLS_LAYOUT) != POOLS_LAYOUT
-    if complete and not meets_layout:
-        raise MissingKeyError(f"{path}.family_info.allowed_pools")
 
 
 def _present(raw: dict[str, Any], **keys: str) -> dict[str, Any]:
--- a/stairhatch/settings/schema.py
+++ b/stairhatch/settings/schema.py
@@ -1,19 +1,21 @@
 """Schema of the settings: the shapes of values, the schema built from them, and the validation.
 
-The schema has the keys that are documented for operators; other keys are ignored. Times are seconds. A
-configuration that a reload reads must also have every key that is in force (`check_no_key_lost`): a text
-without such a key was truncated or mistyped, and the parser would use the default for the missing key.
+The schema has the keys that are documented for operators; other keys are ignored. Times are seconds. It also
+names the documented keys that the program does not use, since a reload rejects a text that lacks one of them
+(`stairhatch.settings.lost_keys`).
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
-from stairhatch.settings.errors import InvalidValueError, LostKeyError, MissingKeyError
+from stairhatch.settings.errors import InvalidValueError, MissingKeyError
 
 MAX_SECONDS = 1e6  # of any time: a longer time is a typing error, and would overflow a timer
 MAX_COUNT = 10**7
-TOP_LEVEL_PATH = "the top-level object"  # path in the error if the new configuration is not an object
+POOLS_LAYOUT = "pools"  # the layout in which each class has its servers
 
 
 class NumberShape(NamedTuple):
@@ -58,14 +60,54 @@
     item: Shape
 
 
+class AnyShape:
+    """Shape of a value that the program does not use: any value is allowed."""
+
+
+class Condition(NamedTuple):
+    """The value of another key with which a key is present; `path` begins at the object that has the key."""
+
+    path: tuple[str, ...]
+    value: Any
+
+    def is_met(self, container: dict[str, Any]) -> bool:
+        """Return whether the other key has the value or is missing, since the value is its default."""
+        found: Any = container
+        for key in self.path:
+            if not isinstance(found, dict) or key not in found:
+                return True
+            found = found[key]
+        return bool(found == self.value)
+
+
 class ObjectShape(NamedTuple):
-    """Shape of an object with these keys. Other keys are allowed and ignored."""
+    """Shape of an object with these documented keys. Other keys are allowed and ignored."""
 
     keys: dict[str, Shape]
-    optional: frozenset[str] = frozenset()
+    optional: frozenset[str] = frozenset()  # the documentation allows that they are absent
+    defaulted: frozenset[str] = frozenset()  # documented as present, but a start does not need them
+    unused: Mapping[str, Shape] = MappingProxyType({})  # documented keys that the program does not check
+    conditions: Mapping[str, Condition] = MappingProxyType({})  # keys that are present on a condition
+
+    def shape_of(self, key: str) -> Shape | None:
+        """Return the shape of a documented key, None for another key."""
+        return self.keys.get(key) or self.unused.get(key)
+
+    def is_documented_as_required(self, key: str, container: dict[str, Any]) -> bool:
+        """Return whether `container`, an object of this shape, has the key by the documentation."""
+        if self.shape_of(key) is None or key in self.optional:
+            return False
+        condition = self.conditions.get(key)
+        return condition is None or condition.is_met(container)
+
+
+Shape = NumberShape | BooleanShape | TextShape | ListShape | ObjectShape | AnyShape
 
 
-Shape = NumberShape | BooleanShape | TextShape | ListShape | ObjectShape
+def unused_keys(*names: str) -> dict[str, Shape]:
+    """Return shapes for documented keys whose values the program does not use."""
+    return dict.fromkeys(names, AnyShape())
+
 
 CALL_CLASS_SCHEMA = ObjectShape(
     {
@@ -75,7 +117,27 @@
         "hard_limit_s": NumberShape(exclusive_minimum=True),
         "late_worth": NumberShape(maximum=1),
         "effect": TextShape(),  # an unknown effect counts as not idempotent
-    }
+    },
+    optional=frozenset(("aim_stretch",)),
+    unused=unused_keys("aim_stretch", "dedup_scope", "memory_span_s", "stream"),
+)
+PARTY_SCHEMA = ObjectShape({}, unused=unused_keys("name", "quota_per_s", "fraction"))
+PRICES_SCHEMA = ObjectShape(
+    {},
+    optional=frozenset(("fleet",)),
+    unused=unused_keys(
+        "connection",
+        "cross_zone",
+        "discovery",
+        "fleet",
+        "handshake",
+        "late_fail",
+        "moves",
+        "origin",
+        "peer",
+        "probe",
+        "waste",
+    ),
 )
 SETTINGS_SCHEMA = ObjectShape(
     {
@@ -91,9 +153,10 @@
                 "retransmit_s": NumberShape(),
                 "self_no": NumberShape(-1, integer=True),
             },
-            optional=frozenset(("allowed_pools",)),  # present only with the layout `pools`
+            unused=unused_keys("class_width", "hints_route", "layout", "peer_load", "tells_wait"),
+            conditions={"allowed_pools": Condition(("layout",), POOLS_LAYOUT)},
         ),
-        "load_report": ObjectShape({"names": ListShape(TextShape())}),
+        "load_report": ObjectShape({"names": ListShape(TextShape())}, unused=unused_keys("how")),
         "permissions": ObjectShape(
             {
                 "send_cap": NumberShape(1, MAX_COUNT, integer=True),
@@ -103,7 +166,15 @@
                 "retry_after": BooleanShape(),
                 "max_retry_after_s": NumberShape(),
                 "connect_timeout_s": NumberShape(exclusive_minimum=True),
-            }
+            },
+            unused=unused_keys(
+                "cpu_us_per_request",
+                "cpu_us_per_s",
+                "idle_close_s",
+                "open_cap",
+                "parallel_tries",
+                "streams_per_conn",
+            ),
         ),
         "safety": ObjectShape(
             {
@@ -113,9 +184,29 @@
                 "warm_after_s": NumberShape(),
                 "fall_multiple": NumberShape(exclusive_minimum=True),
                 "fall_s": NumberShape(),
-            }
+            },
+            unused=unused_keys("must_ask_in_s"),
+        ),
+    },
+    optional=frozenset(("parties",)),  # a site may have no tenants
+    unused={
+        **unused_keys(
+            "az",
+            "discovery",
+            "kind_of_service",
+            "kinds",
+            "over_share_worth",
+            "tier",
+            "tiers",
+            "value_by",
+            "weight_source",
+            "zones",
         ),
-    }
+        "client_habits": ObjectShape({}, unused=unused_keys("marks_retry")),
+        "goal": ObjectShape({}, unused=unused_keys("whole", "worst_class", "worst_tenant", "worst_window")),
+        "parties": ListShape(PARTY_SCHEMA),
+        "prices": PRICES_SCHEMA,
+    },
 )
 
 
@@ -156,45 +247,12 @@
 def _check_complete(value: Any, shape: Shape, path: str) -> None:
     """Raise MissingKeyError for the first required key that is missing."""
     match shape:
-        case ObjectShape(keys, optional):
+        case ObjectShape(keys, defaulted=defaulted):
             for key, inner in keys.items():
                 if key in value:
                     _check_complete(value[key], inner, key_path(path, key))
-                elif key not in optional:
+                elif key not in defaulted and shape.is_documented_as_required(key, value):
                     raise MissingKeyError(key_path(path, key))
         case ListShape(item):
             for index, each in enumerate(value):
                 _check_complete(each, item, f"{path}[{index}]")
-
-
-def check_no_key_lost(in_force: Any, new: Any, path: str = "") -> None:
-    """Raise LostKeyError for the first key of the decoded configuration in force that the new one lacks.
-
-    In a list of named objects, each new object must have the keys that all objects in force have, and an
-    object whose name is in force must also have the keys of that object.
-    """
-    if isinstance(in_force, dict):
-        if not isinstance(new, dict):
-            raise LostKeyError(path or TOP_LEVEL_PATH)
-        for key, value in in_force.items():
-            if key not in new:
-                raise LostKeyError(key_path(path, str(key)))
-            check_no_key_lost(value, new[key], key_path(path, str(key)))
-    elif isinstance(in_force, list) and in_force and all(_is_named(each) for each in in_force):
-        _check_named_objects(in_force, new, path)
-
-
-def _is_named(value: Any) -> bool:
-    """Return whether a value is an object with the key `name`."""
-    return isinstance(value, dict) and "name" in value
-
-
-def _check_named_objects(in_force: list[dict[str, Any]], new: Any, path: str) -> None:
-    """Raise LostKeyError if a list of named objects lacks keys; order and number of objects may change."""
-    if not isinstance(new, list) or not new:
-        raise LostKeyError(path)
-    common_keys = dict.fromkeys(key for key in in_force[0] if all(key in each for each in in_force))
-    by_name = {each["name"]: each for each in in_force}
-    for index, each in enumerate(new):
-        name = each.get("name") if isinstance(each, dict) else None
-        check_no_key_lost({**common_keys, **by_name.get(name, {})}, each, f"{path}[{index}]")
