Take an endpoint list for complete only where it is marked so

What callers see: a change of the list with `"reset": "false"`, or any text or object there, ends the calls at all servers that it does not list, and these get no more.

Cause: the mark was taken by Python's truth, and a text is true.

Evidence: in process on, servers a, b, c and a drain of a with that mark: a draining, b and c gone.

Change: true, 1 and "true" mark a complete list (`is_marked_complete`); the relay of the fleet asks the same function.

Result: b and c stay ready.

--- a/stairhatch/fleet/endpoint_relay.py
+++ b/stairhatch/fleet/endpoint_relay.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from stairhatch.fleet.messages import EndpointUpdate
+from stairhatch.node.endpoint_list import is_marked_complete
 
 PART_BYTES = 1000  # maximum size of a part, which travels in one datagram
 MAX_PARTS = 256
@@ -42,7 +43,7 @@
             endpoints = event.get("endpoints")
             index = int(event["index"])
             if endpoints is not None and index > self.index:
-                if endpoints.get("reset"):
+                if is_marked_complete(endpoints):
                     self.instances.clear()
                 for record in endpoints["instances"]:
                     self.instances[str(record["instanceId"])] = record
--- a/stairhatch/node/endpoint_list.py
+++ b/stairhatch/node/endpoint_list.py
@@ -108,8 +108,13 @@
     return ServiceDiscoveryError(f"directory event: {type(error).__name__}: {error}")
 
 
+def is_marked_complete(endpoints: dict[str, Any]) -> bool:
+    """Return whether an event is marked as the complete list; a text such as "false" is no mark."""
+    return endpoints.get("reset") in (True, "true")
+
+
 def _is_complete(endpoints: dict[str, Any], after: int) -> bool:
-    return bool(endpoints.get("reset")) or after == 0
+    return is_marked_complete(endpoints) or after == 0
 
 
 def _record_of(line: dict[str, Any]) -> ServerRecord:
