Let an unknown value in a line of the endpoint list cost its server alone

Under `known` in the configuration either one ends the start or rejects the file.

Cause: a line was read whole or not at all, and an answer with an unreadable line is requested twice more.

Evidence: in process on, `service_discovery why=directory event: KeyError: 'warming'` and nothing applied after one answer; after three, a and b draining.

Change: an unknown state that is text counts as draining at once; an unreadable start is the one known of the server, or now for a new one. Both are logged as `parts not used` and counted in discovery_parts_unused. A line without its id, address, number or state is unreadable as before and still rejects a configuration.

Result: applied with the first answer.

--- a/stairhatch/node/endpoint_list.py
+++ b/stairhatch/node/endpoint_list.py
@@ -3,10 +3,12 @@
 An answer is a JSON object: `index` is that of the last event, and `updates` are the events, each with an
 `index` and `endpoints` (`reset` marks the complete list, `instances` has a line for each server). A
 configuration lists its known servers in the same form. The module does not assess servers and skips no event.
+A part of an answer that cannot be used costs no more than that part, and is logged.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -27,6 +29,7 @@
 PARSE_FAULTS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 MAX_REASON_CHARACTERS = 80
 MAX_REASONS = 4  # logged for one answer
+UNKNOWN_START = -1.0  # `started_at` of a record whose start cannot be read
 
 
 class ServiceDiscoveryError(ValueError):
@@ -45,6 +48,7 @@
 
     last_index: int
     events: list[WatchEvent]
+    unused_parts: list[str]  # values of lines that cannot be used although the lines can
 
 
 class ReadableAnswer(NamedTuple):
@@ -57,9 +61,11 @@
 def parse_answer(answer: Any, after: int) -> WatchAnswer:
     """Return the events of an answer that come after an index.
 
-    The first event of all (`after` is 0) is taken as the complete list, marked as `reset` or not. Raises
+    The first event of all (`after` is 0) is taken as the complete list, marked as `reset` or not. A server in
+    an unknown state counts as draining, and a start that cannot be read is UNKNOWN_START. Raises
     ServiceDiscoveryError if the answer is invalid.
     """
+    unused_parts: list[str] = []
     try:
         last_index = int(answer["index"])
         events: list[WatchEvent] = []
@@ -67,12 +73,12 @@
             index = int(event["index"])
             endpoints = event.get("endpoints")
             if index > after and endpoints is not None:
-                records = [_record_of(line) for line in endpoints["instances"]]
+                records = [_record_of(line, unused_parts) for line in endpoints["instances"]]
                 events.append(WatchEvent(records, _is_complete(endpoints, after)))
             after = max(after, index)
     except PARSE_FAULTS as error:
         raise _invalid_event(error) from error
-    return WatchAnswer(max(last_index, after), events)
+    return WatchAnswer(max(last_index, after), events, unused_parts)
 
 
 def apply_answer(call_manager: CallManager, answer: Any, after: int) -> int:
@@ -82,10 +88,31 @@
     """
     parsed = parse_answer(answer, after)
     for event in parsed.events:
-        call_manager.update_servers(event.endpoints, event.is_complete)
+        records = [_with_known_start(call_manager, record) for record in event.endpoints]
+        call_manager.update_servers(records, event.is_complete)
+    if parsed.unused_parts:
+        call_manager.counters.add("discovery_parts_unused")
+        call_manager.log("service_discovery", why=f"parts not used: {joined_reasons(parsed.unused_parts)}")
     return parsed.last_index
 
 
+def joined_reasons(reasons: list[str]) -> str:
+    """Return the first reasons as one text for the log."""
+    return "; ".join(reason[:MAX_REASON_CHARACTERS] for reason in reasons[:MAX_REASONS])
+
+
+def _with_known_start(call_manager: CallManager, record: ServerRecord) -> ServerRecord:
+    """Return the record with a start in place of UNKNOWN_START.
+
+    A known server keeps its start. A new one counts as just started, so that it is not overloaded while cold.
+    """
+    if record.started_at != UNKNOWN_START:
+        return record
+    server = call_manager.servers.by_instance.get(record.instance)
+    started_at = server.record.started_at if server is not None else call_manager.clock()
+    return record._replace(started_at=started_at)
+
+
 def skip_unreadable(call_manager: CallManager, answer: Any, after: int) -> ReadableAnswer:
     """Return an answer with its unreadable lines replaced.
 
@@ -101,7 +128,7 @@
         updates = [repairer.repair_event(event) for event in answer["updates"]]
     except PARSE_FAULTS as error:
         raise _invalid_event(error) from error
-    return ReadableAnswer({**answer, "updates": updates}, "; ".join(repairer.reasons[:MAX_REASONS]))
+    return ReadableAnswer({**answer, "updates": updates}, joined_reasons(repairer.reasons))
 
 
 def _invalid_event(error: Exception) -> ServiceDiscoveryError:
@@ -117,16 +144,42 @@
     return is_marked_complete(endpoints) or after == 0
 
 
-def _record_of(line: dict[str, Any]) -> ServerRecord:
+def _record_of(line: dict[str, Any], unused_parts: list[str]) -> ServerRecord:
+    """Return the record of a line, and append what cannot be used of it to `unused_parts`."""
+    instance = str(line["instanceId"])
+    availability = AVAILABILITY.get(line["lifecycle"])
+    if availability is None:
+        availability = Availability.DRAINING
+        unused_parts.append(f"{instance}: unknown lifecycle {_state_text(line['lifecycle'])!r}")
+    started_at = _started_at(line)
+    if started_at == UNKNOWN_START:
+        unused_parts.append(f"{instance}: startedAtMs {line['startedAtMs']!r}")
     return ServerRecord(
-        instance=str(line["instanceId"]),
+        instance=instance,
         address=parse_address(str(line["hostPort"])),
         number=int(line["cell"]),
-        availability=AVAILABILITY[line["lifecycle"]],
-        started_at=float(line.get("startedAtMs") or 0) / MS_PER_S,
+        availability=availability,
+        started_at=started_at,
     )
 
 
+def _state_text(lifecycle: Any) -> str:
+    """Return an unknown lifecycle. Raises TypeError if it is no text."""
+    if not isinstance(lifecycle, str):
+        raise TypeError(f"lifecycle is {type(lifecycle).__name__}")
+    return lifecycle
+
+
+def _started_at(line: dict[str, Any]) -> float:
+    """Return the Unix time at which a server started; 0, for long ago, if the line lacks it."""
+    started_at_ms = line.get("startedAtMs")
+    try:
+        started_at = 0.0 if started_at_ms is None else float(started_at_ms) / MS_PER_S
+    except PARSE_FAULTS:
+        return UNKNOWN_START
+    return started_at if math.isfinite(started_at) else UNKNOWN_START
+
+
 def _line_of(record: ServerRecord) -> dict[str, Any]:
     """Return a server's line in the coordinator's form, with `in_service` whatever its availability."""
     return {
@@ -187,15 +240,14 @@
             name = _instance_id_of(line)
             is_terminated = bool(name) and line.get("lifecycle") == TERMINATED
             unreadable[name] = TERMINATED if is_terminated else TERMINATING
-            reason = f"{name or 'a line'}: {type(fault).__name__}: {fault}"
-            self.reasons.append(reason[:MAX_REASON_CHARACTERS])
+            self.reasons.append(f"{name or 'a line'}: {type(fault).__name__}: {fault}")
         return readable, unreadable
 
 
 def _fault_of(line: Any) -> Exception | None:
     """Return why a line cannot be read, or None if it can."""
     try:
-        _record_of(line)
+        _record_of(line, [])
     except PARSE_FAULTS as error:
         return error
     return None
--- a/tests/test_discovery_parts.py
+++ b/tests/test_discovery_parts.py
@@ -7,12 +7,15 @@
 import pytest
 
 from stairhatch.node.calls import ServerRecord
+from stairhatch.node.endpoint_list import ServiceDiscoveryError, apply_answer, parse_answer
 from stairhatch.node.server_pool import ServerConnectionPool
 from stairhatch.node.service_discovery import ServiceDiscoveryClient
 from stairhatch.overload.events import Availability
 
 from .support.in_process_node import InProcessNode
-from .support.scripted_coordinator import endpoint_entry
+from .support.program import Program
+from .support.scripted_coordinator import ScriptedCoordinator, endpoint_entry
+from .support.scripted_server import ScriptedServer
 
 LAST_INDEX = 4  # of the list that is in force at the start
 KNOWN_START = 7.0
@@ -54,6 +57,49 @@
         return [fields["why"] for event, fields in self.logged if event == "service_discovery"]
 
 
+def with_line(**changes):
+    """Return an answer in which the drain of `a` follows a line of `b` with these changes."""
+    line = {**endpoint_entry("b", 9), **changes}
+    instances = [line, *DRAIN_OF_A["instances"]]
+    return {"index": 5, "updates": [{"index": 5, "endpoints": {**DRAIN_OF_A, "instances": instances}}]}
+
+
+@pytest.mark.parametrize("value", ["a while ago", "NaN", [], {}, "1e999"], ids=repr)
+def test_an_unreadable_start_costs_the_start_alone(value):
+    """Guards against a server that gets no new calls, and a drain that is learnt late, for a start that may
+    be absent. A known server keeps its start; a new one counts as cold, since it may be.
+    """
+    discovery = Discovery()
+    discovery.answer(with_line(startedAtMs=value))
+    assert discovery.states() == {"a": "draining", "b": "ready", "c": "ready"}
+    assert discovery.servers.by_instance["b"].record.started_at == KNOWN_START
+    assert discovery.node.call_manager.counters.counts["discovery_parts_unused"] == 1
+    assert [why for why in discovery.reasons() if "b: startedAtMs" in why]
+    discovery = Discovery()
+    discovery.answer(with_line(startedAtMs=value, instanceId="new"))
+    assert discovery.states()["new"] == "ready"
+    assert discovery.servers.by_instance["new"].record.started_at == discovery.node.call_manager.clock()
+
+
+def test_an_unknown_state_costs_its_server_alone():
+    """Guards against a drain that is learnt after two more polls, since another server has a new state."""
+    discovery = Discovery()
+    discovery.answer(with_line(lifecycle="warming"))
+    assert discovery.states() == {"a": "draining", "b": "draining", "c": "ready"}
+    assert [why for why in discovery.reasons() if "b: unknown lifecycle 'warming'" in why]
+
+
+def test_absent_and_unknown_parts_of_a_line_are_passed_over():
+    """Guards against a line that is not read for a key that the program does not need."""
+    discovery = Discovery()
+    line = {key: endpoint_entry("b", 9)[key] for key in ("instanceId", "hostPort", "cell", "lifecycle")}
+    raw = with_line()
+    raw["updates"][0]["endpoints"] = {"instances": [{**line, "more": {"deep": 1}}, *DRAIN_OF_A["instances"]]}
+    raw["more"] = raw["updates"][0]["more"] = [1]
+    discovery.answer(raw)
+    assert discovery.states() == {"a": "draining", "b": "ready", "c": "ready"}
+
+
 @pytest.mark.parametrize("mark", ["false", "no", "", [], {"x": 1}, 0, None], ids=repr)
 def test_a_mark_of_another_type_does_not_make_a_list_complete(mark):
     """Guards against the end of calls at all servers that a change does not list."""
@@ -61,3 +107,35 @@
     endpoints = {**DRAIN_OF_A, "reset": mark}
     discovery.answer({"index": 5, "updates": [{"index": 5, "endpoints": endpoints}]})
     assert discovery.states() == {"a": "draining", "b": "ready", "c": "ready"}
+
+
+@pytest.mark.parametrize("key", ["instanceId", "hostPort", "cell", "lifecycle"])
+def test_a_configured_list_must_have_the_keys_of_its_lines(key):
+    """Guards against a truncated line in the configuration that is taken for a server in an unknown state."""
+    line = endpoint_entry("b", 9)
+    del line[key]
+    with pytest.raises(ServiceDiscoveryError):
+        parse_answer({"index": 1, "updates": [{"index": 1, "endpoints": {"instances": [line]}}]}, 0)
+
+
+def test_program_starts_and_reloads_with_an_unknown_state_in_its_configuration(tmp_path, started_programs):
+    """Guards against a refused start, and a file that is rejected whole, for one line of its list."""
+    servers = [ScriptedServer(), ScriptedServer()]
+    odd = {**endpoint_entry("s-0", servers[0].port, 0, "warming"), "startedAtMs": "soon"}
+    coordinator = ScriptedCoordinator(odd, endpoint_entry("s-1", servers[1].port, 1))
+    program = Program.on_platform(tmp_path, coordinator).wait_until_serving()
+    started_programs.append(program)
+    assert program.reload(program.path.read_text())["result"] == "applied"
+    reasons = [line["why"] for line in program.log_events("service_discovery")]
+    assert [why for why in reasons if why.startswith("parts")], "parts not used: s-0: ..."
+    assert program.process.poll() is None
+
+
+def test_events_of_an_answer_are_applied_with_their_unused_parts_logged_once():
+    """Guards against a line in the log for each part of a long list."""
+    discovery = Discovery()
+    lines = [endpoint_entry(f"s-{number}", 9, state="warming") for number in range(300)]
+    raw = {"index": 5, "updates": [{"index": 5, "endpoints": {"instances": lines}}]}
+    assert apply_answer(discovery.node.call_manager, raw, LAST_INDEX) == 5
+    (why,) = discovery.reasons()
+    assert len(why) < 400
