Apply an answer of the coordinator without the event that can't be used

What callers see: while the coordinator has one event without a list of lines, or of another type, or without an index, no later drain, end or new server is learnt, for as long as that event is in the answer. An answer without news that has no `updates` is rejected too.

Cause: the repair of an answer that stays unreadable after three requests replaced lines alone; all else raised again.

Change: after the third request such an event is left out, and the list of before remains in force; an unreadable index of an event is the next one, not beyond the answer's own, and that of the answer is its last event's. `updates` may be absent or null. An answer whose events are no list is requested again, as before.

--- a/stairhatch/node/endpoint_list.py
+++ b/stairhatch/node/endpoint_list.py
@@ -69,7 +69,7 @@
     try:
         last_index = int(answer["index"])
         events: list[WatchEvent] = []
-        for event in answer["updates"]:
+        for event in answer.get("updates") or ():
             index = int(event["index"])
             endpoints = event.get("endpoints")
             if index > after and endpoints is not None:
@@ -121,14 +121,22 @@
     if it notified that the server is ready, the other servers carry its load for a while. Of the line's
     content only a `terminated` lifecycle is accepted. In a complete list an unreadable line without an
     instance id may belong to any server that the list does not contain, so all of these are marked as
-    draining. Raises ServiceDiscoveryError if the answer is invalid in other ways.
+    draining. An event without readable lines is left out: the list of before remains in force. An index that
+    cannot be read is that of the next event. Raises ServiceDiscoveryError if the answer has no events at all.
     """
-    repairer = _AnswerRepairer(after, _known_lines(call_manager))
-    try:
-        updates = [repairer.repair_event(event) for event in answer["updates"]]
-    except PARSE_FAULTS as error:
-        raise _invalid_event(error) from error
-    return ReadableAnswer({**answer, "updates": updates}, joined_reasons(repairer.reasons))
+    updates = answer.get("updates") if isinstance(answer, dict) else None
+    if not isinstance(updates, list):
+        raise ServiceDiscoveryError("the answer has no list of events")
+    index = _index_of(answer.get("index"))
+    repairer = _AnswerRepairer(after, index, _known_lines(call_manager))
+    repaired = [repairer.repair_event(event) for event in updates]
+    if index is None:
+        repairer.reasons.append(f"index {answer.get('index')!r}")
+        index = repairer.after
+    return ReadableAnswer(
+        {**answer, "index": index, "updates": [event for event in repaired if event is not None]},
+        joined_reasons(repairer.reasons),
+    )
 
 
 def _invalid_event(error: Exception) -> ServiceDiscoveryError:
@@ -144,6 +152,14 @@
     return is_marked_complete(endpoints) or after == 0
 
 
+def _index_of(value: Any) -> int | None:
+    """Return an event index, or None if it cannot be read."""
+    try:
+        return int(value)
+    except PARSE_FAULTS:
+        return None
+
+
 def _record_of(line: dict[str, Any], unused_parts: list[str]) -> ServerRecord:
     """Return the record of a line, and append what cannot be used of it to `unused_parts`."""
     instance = str(line["instanceId"])
@@ -203,18 +219,38 @@
 class _AnswerRepairer:
     """The repairer of one answer: replaces unreadable lines, and applies each event to `known`."""
 
-    def __init__(self, after: int, known: dict[str, dict[str, Any]]) -> None:
-        """Repair the events after an index; `known` has the lines of the servers that are not gone."""
+    def __init__(self, after: int, last_index: int | None, known: dict[str, dict[str, Any]]) -> None:
+        """Repair the events after an index; `known` has the lines of the servers that are not gone.
+
+        `last_index` is the index of the answer, None if it cannot be read.
+        """
         self.after = after
+        self.last_index = last_index
         self.known = known
         self.reasons: list[str] = []  # why lines could not be read
 
-    def repair_event(self, event: dict[str, Any]) -> dict[str, Any]:
-        """Return an event with its unreadable lines replaced; an event that is not new is unchanged."""
-        index = int(event["index"])
+    def repair_event(self, event: Any) -> dict[str, Any] | None:
+        """Return an event with its unreadable lines replaced; an event that is not new is unchanged.
+
+        Returns None for an event that is no object or whose lines are no list.
+        """
+        if not isinstance(event, dict):
+            self.reasons.append(f"event is {type(event).__name__}")
+            return None
+        index = _index_of(event.get("index"))
+        if index is None:
+            self.reasons.append(f"event index {event.get('index')!r}")
+            index = self.after + 1
+            if self.last_index is not None:
+                index = min(index, self.last_index)
+            event = {**event, "index": index}
         endpoints = event.get("endpoints")
         if index <= self.after or endpoints is None:
             return event
+        if not isinstance(endpoints, dict) or not isinstance(endpoints.get("instances"), list):
+            self.reasons.append(f"event {index} has no list of instances")
+            self.after = index
+            return {"index": index}
         readable, unreadable = self._split_by_readability(endpoints["instances"])
         is_complete = _is_complete(endpoints, self.after)
         if is_complete and "" in unreadable:
--- a/tests/test_discovery_parts.py
+++ b/tests/test_discovery_parts.py
@@ -9,7 +9,7 @@
 from stairhatch.node.calls import ServerRecord
 from stairhatch.node.endpoint_list import ServiceDiscoveryError, apply_answer, parse_answer
 from stairhatch.node.server_pool import ServerConnectionPool
-from stairhatch.node.service_discovery import ServiceDiscoveryClient
+from stairhatch.node.service_discovery import MAX_REQUESTS, ServiceDiscoveryClient
 from stairhatch.overload.events import Availability
 
 from .support.in_process_node import InProcessNode
@@ -64,6 +64,57 @@
     return {"index": 5, "updates": [{"index": 5, "endpoints": {**DRAIN_OF_A, "instances": instances}}]}
 
 
+@pytest.mark.parametrize("raw", [{"index": LAST_INDEX}, {"index": LAST_INDEX, "updates": None}])
+def test_answer_without_news_may_lack_the_list_of_events(raw):
+    """Guards against a coordinator that is polled again and again since it writes no empty list."""
+    discovery = Discovery()
+    discovery.answer(raw)
+    assert not discovery.client.closing
+    assert discovery.node.call_manager.counters.counts["discovery_answers"] == 1
+    assert discovery.states() == {"a": "ready", "b": "ready", "c": "ready"}
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        5, None, "event", [], {"index": 5, "endpoints": []}, {"index": 5, "endpoints": "x"},
+        {"index": 5, "endpoints": {"generation": 5, "reset": True}},
+        {"index": 5, "endpoints": {"reset": True, "instances": None}},
+        {"index": 5, "endpoints": {"reset": True, "instances": {"a": 1}}},
+    ],
+    ids=repr,
+)  # fmt: skip
+@pytest.mark.parametrize("first", [True, False], ids=["before the drain", "behind it"])
+def test_an_event_that_cannot_be_used_does_not_hide_a_drain(fault, first):
+    """Guards against an answer that is rejected whole, for ever, for one event of an unknown form: the drain
+    of another server in the same answer, and every later one, was never learnt.
+    """
+    discovery = Discovery()
+    drain = {"index": 6 if first else 5, "endpoints": DRAIN_OF_A}
+    fault = {**fault, "index": 5 if first else 6} if isinstance(fault, dict) else fault
+    raw = {"index": 6, "updates": [fault, drain] if first else [drain, fault]}
+    discovery.answer(raw, times=MAX_REQUESTS)
+    assert discovery.states() == {"a": "draining", "b": "ready", "c": "ready"}
+    assert discovery.client.last_index == 6
+    assert len([why for why in discovery.reasons() if why.startswith("unreadable")]) == 1
+
+
+@pytest.mark.parametrize("index", [None, "five", [], {}, 1e999], ids=repr)
+def test_an_unreadable_index_does_not_hide_a_drain(index):
+    """Guards against an answer that is rejected whole for its index, or that of an event."""
+    for raw in (
+        {"index": index, "updates": [{"index": 5, "endpoints": DRAIN_OF_A}]},
+        {"index": 5, "updates": [{"index": index, "endpoints": DRAIN_OF_A}]},
+        {"updates": [{"endpoints": DRAIN_OF_A}]},
+    ):
+        discovery = Discovery()
+        discovery.answer(raw, times=MAX_REQUESTS)
+        assert discovery.states() == {"a": "draining", "b": "ready", "c": "ready"}
+        assert discovery.client.last_index == 5
+        discovery.answer({"index": 6, "updates": [{"index": 6, "endpoints": {"instances": []}}]})
+        assert discovery.client.last_index == 6
+
+
 @pytest.mark.parametrize("value", ["a while ago", "NaN", [], {}, "1e999"], ids=repr)
 def test_an_unreadable_start_costs_the_start_alone(value):
     """Guards against a server that gets no new calls, and a drain that is learnt late, for a start that may
@@ -109,6 +160,15 @@
     assert discovery.states() == {"a": "draining", "b": "ready", "c": "ready"}
 
 
+@pytest.mark.parametrize("raw", [[], 3, {"index": 5, "updates": 3}, {"index": 5, "updates": {"x": 1}}])
+def test_an_answer_without_events_of_the_right_form_is_polled_again(raw):
+    """Guards against events that are passed over although another answer may bring them."""
+    discovery = Discovery()
+    discovery.answer(raw, times=MAX_REQUESTS + 1)
+    assert discovery.client.last_index == LAST_INDEX
+    assert discovery.states() == {"a": "ready", "b": "ready", "c": "ready"}
+
+
 @pytest.mark.parametrize("key", ["instanceId", "hostPort", "cell", "lifecycle"])
 def test_a_configured_list_must_have_the_keys_of_its_lines(key):
     """Guards against a truncated line in the configuration that is taken for a server in an unknown state."""
