Read of a server's message only the parts that it needs

What callers see: a roster server's line with fields that are no object, or with an unreadable cause where none belongs, closes its connection; the set-ups on it are repeated after the pause, or fail where they may not be repeated.

Cause: the cause was read of every message, though only a release has one, and `opts` had to be an object or empty.

Change: the cause is read of a release alone; `opts` of another type counts as absent. What an answer or a release needs is checked as before.

--- a/stairhatch/node/server_messages.py
+++ b/stairhatch/node/server_messages.py
@@ -2,7 +2,7 @@
 
 The module renders set-ups, releases and echo replies, and parses the servers' messages: one JSON object per
 line, 16 KiB at most. It depends on no connection, call state or clock; a line that cannot be parsed raises
-`MalformedMessageError`.
+`MalformedMessageError`. A part that the message does not need may be absent or of any type.
 """
 
 from __future__ import annotations
@@ -111,16 +111,22 @@
         raise MalformedMessageError(reason) from error
 
 
+def _options(message: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields of a message; none if they are absent or no object, since no message needs them."""
+    options = message.get("opts")
+    return options if isinstance(options, dict) else {}
+
+
 def _read_message(line: bytes) -> ServerMessage:
     """Return the message of a line; raise any of the errors that `parse_message` converts."""
     if len(line) > MAX_LINE_BYTES:
         raise ValueError("the line is longer than 16 KiB")
     message = json.loads(line.decode())
     verb, call_id = message.get("verb"), message.get("tag", "")
-    opts = message.get("opts") or {}
+    opts = _options(message)
     load_report = parse_load_report(str(opts.get("load", "")))
     note = str(opts.get("note", ""))
-    cause = int(message.get("rc") or 0)
+    cause = int(message.get("rc") or 0) if verb == Verb.FINISH else 0
     description = message.get("blob") if verb == "STARTED" else ""
     are_texts = isinstance(verb, str) and isinstance(description, str)
     if not are_texts:
