Pass over pieces of Routing-Data that no page names

What callers see: a set-up with a piece of its own in Routing-Data, as `dest:1;width:1;via:-1;shade:blue`, gets 400, and after eight of them the connection is closed.

Cause: a piece with an unknown name had to be a number below a thousand millions.

Change: a piece whose name the page does not give is passed over. dest, width, via and again have to be numbers in range as before, and the header has 200 characters at most.

--- a/stairhatch/node/platform_request.py
+++ b/stairhatch/node/platform_request.py
@@ -24,7 +24,6 @@
 DECIMAL_NUMBER = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")
 MAX_ROUTING_DATA = 200  # characters
 ROUTING_RANGES = {"dest": (-1, 65535), "width": (1, 1024), "via": (-1, 65535), "again": (0, 1)}
-DEFAULT_RANGE = (-1e9, 1e9)  # of Routing-Data values with other names
 TIMEOUT_SLACK = 1.5  # maximum ratio of Answer-Within to the class's deadline; no caller waits longer
 
 
@@ -41,18 +40,22 @@
 def preferred_server_number(routing_data: str) -> int:
     """Return the number of the preferred server in a Routing-Data header; -1 if it contains none.
 
+    Pieces with names that are not in ROUTING_RANGES are ignored.
+
     Raises:
-        ValueError: the header is too long, or a value is not a number or out of range.
+        ValueError: the header is too long, or a value with one of the names is not a number or out of range.
     """
     preferred = -1
     if len(routing_data) > MAX_ROUTING_DATA:
         raise ValueError("Routing-Data is too long")
     for piece in filter(None, routing_data.split(";")):
-        name, _, value = piece.partition(":")
-        minimum, maximum = ROUTING_RANGES.get(name.strip(), DEFAULT_RANGE)
-        if not DECIMAL_NUMBER.match(value.strip()) or not minimum <= float(value) <= maximum:
-            raise ValueError(f"Routing-Data has an invalid value of {name[:20]}")
-        if name.strip() == "dest":
+        name, _, value = (part.strip() for part in piece.partition(":"))
+        if name not in ROUTING_RANGES:
+            continue
+        minimum, maximum = ROUTING_RANGES[name]
+        if not DECIMAL_NUMBER.match(value) or not minimum <= float(value) <= maximum:
+            raise ValueError(f"Routing-Data has an invalid value of {name}")
+        if name == "dest":
             preferred = int(float(value))
     return preferred
 
--- a/tests/test_request_validation.py
+++ b/tests/test_request_validation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from stairhatch.node.platform_frontend import PlatformFrontend
+from stairhatch.node.platform_request import preferred_server_number
 
 from .support.call_ids import next_call_id
 from .support.caller_disconnects import disconnect, place_call, setup_ids
@@ -85,6 +86,29 @@
     assert "fault" not in program.log_text()
 
 
+@pytest.mark.parametrize(
+    "more",
+    ["shade:blue", "shade", "shade:", ":", "shade:1e999;tint:nan", "shade:9999999999999", "hour:12:30"],
+)
+def test_an_unknown_piece_of_the_routing_data_is_ignored(start_deployment, more):
+    """Guards against a set-up that is rejected for a part of its header that no page names."""
+    program, _, servers = start_deployment(None, None)
+    caller, first, last = program.caller(), next_call_id(), next_call_id()
+    caller.invite(first, routing_data=f"{more};dest:1;width:1;via:-1")
+    caller.invite(last, routing_data=f"dest:1;width:1;via:-1;{more}")
+    caller.expect(first, 200)
+    caller.expect(last, 200)
+    assert {each["tag"] for each in servers[1].messages("START")} == {first, last}
+
+
+@pytest.mark.parametrize("value", ["blue", "", "nan", "1e3", "70000", "-2"])
+@pytest.mark.parametrize("name", ["dest", "width", "via", "again"])
+def test_a_known_figure_of_the_routing_data_must_be_a_number_in_range(name, value):
+    """Guards against a figure that is taken for an unknown piece and ignored."""
+    with pytest.raises(ValueError, match=f"invalid value of {name}"):
+        preferred_server_number(f"shade:blue; {name}:{value}")
+
+
 def test_a_caller_that_sends_only_unusable_requests_is_disconnected(start_deployment):
     """Guards against a caller that repeats an unusable request endlessly after each rejection."""
     program, _, _ = start_deployment(None)
