Reject Routing-Data whose pieces have no names, as before

What callers see: nothing new; a bad caller's `Routing-Data: x` is answered 400 again, and not set up at a roster server.

Change: a piece needs a name and a colon.

--- a/stairhatch/node/platform_request.py
+++ b/stairhatch/node/platform_request.py
@@ -40,16 +40,19 @@
 def preferred_server_number(routing_data: str) -> int:
     """Return the number of the preferred server in a Routing-Data header; -1 if it contains none.
 
-    Pieces with names that are not in ROUTING_RANGES are ignored.
+    A piece `name:value` with a name that is not in ROUTING_RANGES is ignored.
 
     Raises:
-        ValueError: the header is too long, or a value with one of the names is not a number or out of range.
+        ValueError: the header is too long, a piece has no name and colon, or a value with one of the names is
+            not a number or out of range.
     """
     preferred = -1
     if len(routing_data) > MAX_ROUTING_DATA:
         raise ValueError("Routing-Data is too long")
     for piece in filter(None, routing_data.split(";")):
-        name, _, value = (part.strip() for part in piece.partition(":"))
+        name, colon, value = (part.strip() for part in piece.partition(":"))
+        if not name or not colon:
+            raise ValueError("Routing-Data has a piece without a name")
         if name not in ROUTING_RANGES:
             continue
         minimum, maximum = ROUTING_RANGES[name]
