Take the appliance's file without the settings that its template comments out

What operators see: a file in which `settings.me` or `permissions.connect_timeout_s` is commented out again, as deploy/sip.toml has them, is rejected whole, with the drain of a server or a new number in it.

Evidence: the new test on: `reload result=rejected` for the template after a file with both keys.

Change: a configuration brings the schema by which its reload is judged (`Config.reload_schema`); the appliance's has the two keys as optional. All other keys of [settings] stay required once in force, since only they tell a TOML file that was cut at the end of a line from a whole one.

Result: applied, `left_out=settings.me,settings.permissions.connect_timeout_s`, and the server drains.

--- a/stairhatch/config/appliance/reader.py
+++ b/stairhatch/config/appliance/reader.py
@@ -16,9 +16,22 @@
 from stairhatch.config.appliance.validation import validate
 from stairhatch.config.model import Config, ConfigError, checked_settings, read_text
 from stairhatch.settings.errors import SettingsError
+from stairhatch.settings.schema import PERMISSION_SHAPES, SETTINGS_SCHEMA, ObjectShape
 from stairhatch.sip.addresses import TransportAddress
 
 SERVER_STATES = ("in_service", "terminating")
+PERMISSIONS_SCHEMA = ObjectShape(
+    PERMISSION_SHAPES,
+    optional=frozenset(("connect_timeout_s",)),  # deploy/sip.toml shows it as optional, with its default
+)
+RELOAD_SCHEMA = ObjectShape(
+    {
+        "settings": SETTINGS_SCHEMA._replace(
+            keys={**SETTINGS_SCHEMA.keys, "permissions": PERMISSIONS_SCHEMA},
+            optional=frozenset(("me",)),  # as above
+        )
+    }
+)
 
 
 def read_appliance(path: str, environ: Mapping[str, str]) -> Config:
@@ -60,6 +73,7 @@
         known=known,
         console=address_at("console", console) if console else None,
         raw={"settings": raw["settings"]},  # a reload may omit optional keys of all other tables
+        reload_schema=RELOAD_SCHEMA,
         syslog=syslog,
         tracing=environ.get("STAIRHATCH_TRACE") == "1" or table.trace,
         fleet=fleet_config(table.fleet, table, directory) if table.fleet is not None else None,
--- a/stairhatch/config/model.py
+++ b/stairhatch/config/model.py
@@ -8,6 +8,7 @@
 
 from stairhatch.overload.settings import Settings
 from stairhatch.settings.parser import settings_from_object
+from stairhatch.settings.schema import ObjectShape
 
 if TYPE_CHECKING:
     from stairhatch.fleet.config import FleetConfig
@@ -15,6 +16,9 @@
     from stairhatch.sip.config import SipConfig
 
 
+NO_DOCUMENTED_KEYS = ObjectShape({})
+
+
 class ConfigError(ValueError):
     """Raised for an unusable configuration; the text has the key or the file, and the reason."""
 
@@ -43,6 +47,7 @@
     fleet: FleetConfig | None = None  # the appliance's membership in a fleet
     scope: ScopeConfig | None = None  # the servers to connect to; None: all servers of the endpoint list
     raw: Any = None  # the decoded file; a reload is rejected if it lacks a required key of it
+    reload_schema: ObjectShape = NO_DOCUMENTED_KEYS  # which keys of `raw` are required
 
 
 def checked_settings(raw: Any, complete: bool) -> Settings:
--- a/stairhatch/config/platform.py
+++ b/stairhatch/config/platform.py
@@ -90,6 +90,7 @@
         drain_s=RESTART_DRAIN_S if inherited is None else UPGRADE_DRAIN_S,
         inherited=inherited,
         raw=raw,
+        reload_schema=RELOAD_SCHEMA,
         tracing=environ.get("STAIRHATCH_TRACE") == "1",
     )
 
--- a/stairhatch/reload.py
+++ b/stairhatch/reload.py
@@ -15,7 +15,6 @@
 
 from stairhatch.components import Components
 from stairhatch.config.model import Config, ConfigError
-from stairhatch.config.platform import RELOAD_SCHEMA
 from stairhatch.node.calls import ServerRecord
 from stairhatch.node.endpoint_list import ServiceDiscoveryError, apply_answer, parse_answer
 from stairhatch.settings.errors import SettingsError
@@ -106,7 +105,7 @@
         """
         new = self._read_config()
         listed = parse_answer(new.known, 0).events
-        left_out = check_no_key_lost(self.config.raw, new.raw, RELOAD_SCHEMA)
+        left_out = check_no_key_lost(self.config.raw, new.raw, new.reload_schema)
         if (new.coordinator is None) is not (self.config.coordinator is None):
             raise ConfigError("a coordinator in place of listed servers, or the reverse, requires a restart")
         return _Candidate(new, listed[0].endpoints if listed else [], left_out)
--- a/stairhatch/settings/schema.py
+++ b/stairhatch/settings/schema.py
@@ -139,6 +139,15 @@
         "waste",
     ),
 )
+PERMISSION_SHAPES: dict[str, Shape] = {
+    "send_cap": NumberShape(1, MAX_COUNT, integer=True),
+    "may_probe": BooleanShape(),
+    "peers": BooleanShape(),
+    "cancel": BooleanShape(),
+    "retry_after": BooleanShape(),
+    "max_retry_after_s": NumberShape(),
+    "connect_timeout_s": NumberShape(exclusive_minimum=True),
+}
 SETTINGS_SCHEMA = ObjectShape(
     {
         "balancers": NumberShape(1, MAX_COUNT, integer=True),
@@ -158,15 +167,7 @@
         ),
         "load_report": ObjectShape({"names": ListShape(TextShape())}, unused=unused_keys("how")),
         "permissions": ObjectShape(
-            {
-                "send_cap": NumberShape(1, MAX_COUNT, integer=True),
-                "may_probe": BooleanShape(),
-                "peers": BooleanShape(),
-                "cancel": BooleanShape(),
-                "retry_after": BooleanShape(),
-                "max_retry_after_s": NumberShape(),
-                "connect_timeout_s": NumberShape(exclusive_minimum=True),
-            },
+            PERMISSION_SHAPES,
             unused=unused_keys(
                 "cpu_us_per_request",
                 "cpu_us_per_s",
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -138,6 +138,25 @@
     )
 
 
+def test_appliance_takes_a_file_without_the_settings_that_its_template_comments_out(start_deployment):
+    """Guards against a file that is rejected whole, with the drain of a server in it, since a key with a
+    default was commented out again.
+    """
+    program, _, _ = start_deployment(None, frontend="appliance", wait_until_serving=True)
+    text = program.path.read_text()
+    full = text.replace("# me = 0 ", "me = 0 ").replace(
+        "# connect_timeout_s = 0.5", "connect_timeout_s = 0.7"
+    )
+    assert full.count("\nme = 0 ") == full.count("\nconnect_timeout_s = 0.7") == 1
+    assert program.reload(full)["result"] == "applied"
+    drained = text.replace('# state = "terminating"', 'state = "terminating"', 1)
+    line = program.reload(drained)
+    assert (line["result"], line["settings"]) == ("applied", "new")
+    assert line["left_out"] == "settings.me,settings.permissions.connect_timeout_s"
+    wait_until(lambda: [each for each in program.log_events("server_listed") if each["state"] == "draining"])
+    assert program.reload(text.replace("send_cap = 6", ""))["result"] == "rejected"
+
+
 def test_class_is_added_and_another_removed_during_open_calls(start_deployment):
     """Classes are identified by name. An open call keeps its class, and callers may use the name of a removed
     class for a while before it is rejected as unknown.
