Split the settings' schema and the endpoint list's repair into modules of one job

Change: settings/shapes.py, schema.py and validation.py; node/endpoint_list.py parses, node/endpoint_list_repair.py repairs an answer that stays unreadable. No behaviour changes.

--- a/stairhatch/config/appliance/reader.py
+++ b/stairhatch/config/appliance/reader.py
@@ -16,7 +16,8 @@
 from stairhatch.config.appliance.validation import validate
 from stairhatch.config.model import Config, ConfigError, checked_settings, read_text
 from stairhatch.settings.errors import SettingsError
-from stairhatch.settings.schema import PERMISSION_SHAPES, SETTINGS_SCHEMA, ObjectShape
+from stairhatch.settings.schema import PERMISSION_SHAPES, SETTINGS_SCHEMA
+from stairhatch.settings.shapes import ObjectShape
 from stairhatch.sip.addresses import TransportAddress
 
 SERVER_STATES = ("in_service", "terminating")
--- a/stairhatch/config/appliance/schema.py
+++ b/stairhatch/config/appliance/schema.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from stairhatch.settings.schema import MAX_COUNT, MAX_SECONDS
+from stairhatch.settings.shapes import MAX_COUNT, MAX_SECONDS
 from stairhatch.sip.session_timer import MAX_SESSION_EXPIRES_S, MIN_SESSION_EXPIRES_S
 
 Fraction = Annotated[float, Meta(ge=0, le=1)]
--- a/stairhatch/config/model.py
+++ b/stairhatch/config/model.py
@@ -8,7 +8,7 @@
 
 from stairhatch.overload.settings import Settings
 from stairhatch.settings.parser import settings_from_object
-from stairhatch.settings.schema import ObjectShape
+from stairhatch.settings.shapes import ObjectShape
 
 if TYPE_CHECKING:
     from stairhatch.fleet.config import FleetConfig
--- a/stairhatch/config/platform.py
+++ b/stairhatch/config/platform.py
@@ -14,16 +14,16 @@
 from stairhatch.node.address import AddressError, parse_address
 from stairhatch.node.endpoint_list import ServiceDiscoveryError, parse_answer
 from stairhatch.settings.errors import SettingsError
-from stairhatch.settings.schema import (
+from stairhatch.settings.schema import SETTINGS_SCHEMA
+from stairhatch.settings.shapes import (
     MAX_COUNT,
-    SETTINGS_SCHEMA,
     Condition,
     NumberShape,
     ObjectShape,
     TextShape,
     unused_keys,
-    validate,
 )
+from stairhatch.settings.validation import validate
 
 RESTART_DRAIN_S = 3.0  # in a planned restart, in which the platform sends SIGKILL after SIGTERM
 UPGRADE_DRAIN_S = 5.0  # in an upgrade, where another process takes over the listening socket
--- a/stairhatch/node/service_discovery.py
+++ b/stairhatch/node/service_discovery.py
@@ -16,7 +16,8 @@
 import httptools
 
 from stairhatch.node.call_manager import CallManager
-from stairhatch.node.endpoint_list import ServiceDiscoveryError, apply_answer, skip_unreadable
+from stairhatch.node.endpoint_list import ServiceDiscoveryError, apply_answer
+from stairhatch.node.endpoint_list_repair import skip_unreadable
 from stairhatch.node.protocol import ConnectionProtocol, do_nothing
 
 FIRST_POLL_WAIT_MS = 50  # the first answer confirms whether the known servers are the complete list
--- a/stairhatch/settings/lost_keys.py
+++ b/stairhatch/settings/lost_keys.py
@@ -10,7 +10,8 @@
 from typing import Any, NamedTuple
 
 from stairhatch.settings.errors import LostKeyError, MissingKeyError
-from stairhatch.settings.schema import ListShape, ObjectShape, Shape, key_path
+from stairhatch.settings.shapes import ListShape, ObjectShape, Shape
+from stairhatch.settings.validation import key_path
 
 TOP_LEVEL_PATH = "the top-level object"  # path in the error if the new configuration is not an object
 MAX_COMPARED_DEPTH = 16  # of nested values; deeper ones, which no documented key is, are not compared
--- a/stairhatch/settings/parser.py
+++ b/stairhatch/settings/parser.py
@@ -11,7 +11,8 @@
 
 from stairhatch.overload.settings import UNKNOWN_INSTANCE, CallClass, SafetyLimits, Settings
 from stairhatch.settings.errors import MissingKeyError, SettingsError
-from stairhatch.settings.schema import SETTINGS_SCHEMA, validate
+from stairhatch.settings.schema import SETTINGS_SCHEMA
+from stairhatch.settings.validation import validate
 
 JSON_PATH = "boot_info"  # name of the settings on the wire; each key's path starts with it
 IDEMPOTENT_EFFECT = "read_like"
--- a/tests/test_site_settings.py
+++ b/tests/test_site_settings.py
@@ -15,14 +15,8 @@
 from stairhatch.overload.settings import SafetyLimits
 from stairhatch.settings.errors import SettingsError
 from stairhatch.settings.parser import parse_settings_json
-from stairhatch.settings.schema import (
-    SETTINGS_SCHEMA,
-    BooleanShape,
-    ListShape,
-    NumberShape,
-    ObjectShape,
-    TextShape,
-)
+from stairhatch.settings.schema import SETTINGS_SCHEMA
+from stairhatch.settings.shapes import BooleanShape, ListShape, NumberShape, ObjectShape, TextShape
 
 from .support.program import Program
 from .support.scripted_coordinator import endpoint_entry
