--- a/benchmarks/scaling/counting_emulators.py
+++ b/benchmarks/scaling/counting_emulators.py
@@ -56,6 +56,8 @@
 class CountingServer(ServerEmulator):
     """A roster server that counts messages and bytes; several servers may share one `counts` object."""
 
+    enforces_lines = True
+
     def __init__(self, counts: ServerCounts, lines: int) -> None:
         super().__init__(lines=lines)
         self.counts = counts
--- a/stairhatch/emulators/server_emulator.py
+++ b/stairhatch/emulators/server_emulator.py
@@ -105,6 +105,8 @@
 class ServerEmulator:
     """Emulated roster server with its connections and calls."""
 
+    enforces_lines = False  # a set-up beyond `lines` is rejected; else they are only reported
+
     def __init__(
         self,
         script: Callable[[str], tuple[ScriptedReply, ...]] = script_for,
@@ -206,6 +208,9 @@
         self.setup_count += 1
         self.calls[tag] = ServerCall(number=number, connection=connection)
         self.observer(ObservationKind.SETUP_RECEIVED, number)
+        if self.enforces_lines and len(self.calls) > self.lines:
+            self._reply(tag, release(0.0, ReleaseCause.NO_CIRCUIT_AVAILABLE))
+            return
         if self.processor is not None:
             self._offer_to_processor(tag, self.processor)
             return
--- a/tests/test_emulators.py
+++ b/tests/test_emulators.py
@@ -156,6 +156,19 @@
     ]
 
 
+def test_a_server_without_a_free_line_rejects_the_next_setup():
+    """Guards against plays in which a server establishes more calls than it reports lines."""
+    server = ServerEmulator(lines=2, timers=StoppedClock())
+    server.enforces_lines = True
+    connection = connect(server)
+    for tag in "abc":
+        connection.data_received(line_of("START", tag, key=ESTABLISHED))
+    assert list(server.calls) == ["a", "b"]
+    connection.data_received(line_of("FINISH", "a"))
+    connection.data_received(line_of("START", "d", key=ESTABLISHED))
+    assert list(server.calls) == ["b", "d"]
+
+
 # ---- the connection of a caller ----
 
 
