Ignore a malformed timer header of a caller that negotiates no timer

What callers see: on the appliance an INVITE with a malformed Session-Expires or Min-SE gets 400, also of a caller that knows no session timers; a proxy on the way may add either.

Cause: the negotiation rejected whatever it could not parse before it looked whether the caller takes part.

Evidence: one INVITE for each of 39 odd values of 31 headers at the appliance; four timer values got 400.

Change: a malformed Session-Expires is ignored unless the caller supports timers, who is told by 400 as before; a malformed Min-SE is ignored.

--- a/stairhatch/sip/session_timer.py
+++ b/stairhatch/sip/session_timer.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from stairhatch.node import sip_message as sip
 from stairhatch.sip import grammar
@@ -75,24 +76,23 @@
 def negotiate(message: sip.SipMessage, policy: SessionTimerPolicy) -> SessionTimer | RequestRejection | None:
     """Negotiate the session timer of an INVITE or UPDATE (RFC 4028, section 9).
 
-    Returns None if the session has no timer, and a 400 rejection for malformed headers. If the interval is
-    below the configured minimum, returns a 422 rejection if the caller supports timers; else the interval is
-    raised to the minimum.
+    Returns None if the session has no timer. If the caller supports timers, returns a 400 rejection for a
+    malformed Session-Expires, and a 422 rejection for an interval below the configured minimum. Else a
+    malformed Session-Expires is ignored (RFC 3261, 8.2.2), and the interval is raised to the minimum.
     """
     supported = supports_timer(message)
+    min_se_s = _min_session_expires_s(message)
     try:
-        min_se_s = max(MIN_SESSION_EXPIRES_S, grammar.parse_delta_seconds(message.get("min-se", "0")).seconds)
-        requested = message.get("session-expires")
-        interval_s, parameters = grammar.parse_delta_seconds(requested) if requested else (0, {})
+        requested = _requested_interval(message)
     except grammar.GrammarError as error:
-        return RequestRejection(400, f"Session-Expires or Min-SE: {error}")
-    refresher = parameters.get("refresher", "").lower()
-    if refresher not in ("", "uac", "uas"):
-        return RequestRejection(400, "Session-Expires has an unknown refresher")
-    if not requested:
+        if supported:
+            return RequestRejection(400, f"Session-Expires: {error}")
+        requested = None
+    if requested is None:
         proposed_s = max(min_se_s, policy.min_interval_s, policy.interval_s)
         proposes_timer = supported and policy.interval_s
         return SessionTimer(proposed_s, Refresher.CALLER, required=True) if proposes_timer else None
+    interval_s, refresher = requested
     if interval_s < policy.min_interval_s and supported:
         min_se_headers = (("min-se", str(policy.min_interval_s)),)
         return RequestRejection(
@@ -100,10 +100,38 @@
         )
     raised_s = min_se_s if min_se_s > MIN_SESSION_EXPIRES_S else interval_s
     agreed_s = min(max(raised_s, interval_s, policy.min_interval_s), MAX_SESSION_EXPIRES_S)
-    agreed_refresher = Refresher(refresher or "uac") if supported else Refresher.LOCAL
+    agreed_refresher = refresher if supported else Refresher.LOCAL
     return SessionTimer(agreed_s, agreed_refresher, required=supported)
 
 
+class _RequestedInterval(NamedTuple):
+    """The content of a Session-Expires header."""
+
+    seconds: int
+    refresher: Refresher
+
+
+def _requested_interval(message: sip.SipMessage) -> _RequestedInterval | None:
+    """Return the interval that a request asks for, or None. Raises GrammarError for a malformed header."""
+    requested = message.get("session-expires")
+    if not requested:
+        return None
+    seconds, parameters = grammar.parse_delta_seconds(requested)
+    refresher = parameters.get("refresher", "").lower() or Refresher.CALLER.value
+    if refresher not in (Refresher.CALLER.value, Refresher.LOCAL.value):
+        raise grammar.GrammarError("unknown refresher")
+    return _RequestedInterval(seconds, Refresher(refresher))
+
+
+def _min_session_expires_s(message: sip.SipMessage) -> int:
+    """Return the shortest interval that a request allows; a malformed Min-SE is ignored."""
+    try:
+        allowed_s = grammar.parse_delta_seconds(message.get("min-se", "0")).seconds
+    except grammar.GrammarError:
+        allowed_s = 0
+    return max(MIN_SESSION_EXPIRES_S, allowed_s)
+
+
 def timer_of_refresh_response(message: sip.SipMessage) -> SessionTimer | None:
     """Return the timer that the 2xx to our refresh has set (RFC 4028, 7.2).
 
--- a/tests/test_sip_session_timer.py
+++ b/tests/test_sip_session_timer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -39,6 +40,29 @@
         expiration.restart(SessionTimer(interval, refresher), now)
 
 
+def timer_of_invite(*headers):
+    """Return what is negotiated for an INVITE with these headers."""
+    return session_timer.negotiate(sip.SipMessage("INVITE", headers=list(headers)), SessionTimerPolicy())
+
+
+@pytest.mark.parametrize("value", ["soon", "-5", "1800;refresher=proxy", "1800;x=1;x=2", "9" * 30, ";"])
+def test_a_malformed_interval_does_not_reject_the_call_of_a_caller_without_timers(value):
+    """Guards against a call that is rejected for a header that a proxy adds and the caller does not know."""
+    assert timer_of_invite(("session-expires", value)) is None
+    rejection = timer_of_invite(("session-expires", value), ("supported", "timer"))
+    assert isinstance(rejection, RequestRejection)
+    assert rejection.status == 400, "a caller that negotiates a timer is told"
+
+
+@pytest.mark.parametrize("value", ["x", "-1", "", "90;x=1;x=2"])
+def test_a_malformed_minimum_is_ignored(value):
+    """Guards against a call that is rejected for a Min-SE, which may be absent."""
+    assert timer_of_invite(("min-se", value)) is None
+    timer = timer_of_invite(("min-se", value), ("supported", "timer"))
+    assert isinstance(timer, SessionTimer)
+    assert timer.interval_s == SessionTimerPolicy().interval_s
+
+
 @BOUNDED
 @given(
     st.integers(0, 10**6),
