Let an empty Require or Content-Encoding header mean that nothing is required

What callers see: on the appliance a request with an empty Require gets 420, an INVITE with a description and an empty Content-Encoding 415.

Cause: a header without a comma counts as one value, also where it is empty, and the empty text is no known option or coding.

Evidence: the probe of the appliance's optional headers (one INVITE for each of 39 values): `Require:` got 420.

Change: an empty value is passed over in both places.

--- a/stairhatch/sip/request_validation.py
+++ b/stairhatch/sip/request_validation.py
@@ -29,7 +29,8 @@
     if head.method not in METHODS:
         return RequestRejection(405, headers=(ALLOW,))
     if head.method != "CANCEL" and "require" in head.names:
-        unknown = [option for option in head.message.get_all("require") if option.lower() not in EXTENSIONS]
+        required = filter(None, head.message.get_all("require"))  # an empty header requires nothing
+        unknown = [option for option in required if option.lower() not in EXTENSIONS]
         if unknown:
             return RequestRejection(420, headers=(("unsupported", ", ".join(unknown)), SUPPORTED))
     if head.max_forwards == 0 and head.method != "CANCEL":
--- a/stairhatch/sip/session_descriptions.py
+++ b/stairhatch/sip/session_descriptions.py
@@ -32,7 +32,7 @@
     if BODY_HEADERS.isdisjoint(names) and message.get("content-type", SDP) == SDP:
         return message.body  # fast path: the notation of nearly every message
     for coding in message.get_all("content-encoding"):
-        if coding.strip().lower() != "identity":
+        if coding.strip().lower() not in ("", "identity"):  # an empty header names no coding
             accepted = (("accept-encoding", "identity"),)
             return RequestRejection(UNSUPPORTED_MEDIA_TYPE, "unsupported content encoding", accepted)
     try:
--- a/tests/test_sip_frontend.py
+++ b/tests/test_sip_frontend.py
@@ -7,6 +7,7 @@
 from stairhatch.node import sip_message as sip
 from stairhatch.node import sip_parser
 from stairhatch.node.server_responses import CallRelease
+from stairhatch.sip.session_descriptions import read_description
 
 from .support.in_process_node import InProcessNode
 from .support.recording_flow import RecordingFlow
@@ -48,6 +49,8 @@
         ("CANCEL", {}, 481),
         ("PUBLISH", {}, 405),
         ("OPTIONS", {}, 200),
+        ("OPTIONS", {"require": ""}, 200),
+        ("OPTIONS", {"require": " , "}, 200),
     ],
 )
 def test_requests_that_set_up_no_call_are_answered(flow, method, change, status):
@@ -63,6 +66,20 @@
     assert "INVITE" in response.get("allow") or status not in (200, 405)
 
 
+def test_an_empty_content_encoding_does_not_reject_a_description():
+    """Guards against an empty list that counts as an unknown coding."""
+    message = sip.SipMessage("INVITE", headers=[("content-encoding", "")], body=b"v=0")
+    assert read_description(message) == b"v=0"
+
+
+@pytest.mark.parametrize("name", ["require", "supported", "session_expires", "min_se"])
+def test_an_empty_header_does_not_reject_a_call(flow, name):
+    """Guards against an empty list that counts as one unknown value."""
+    flow.request(**{name: ""})
+    flow.node.establish()
+    assert flow.statuses() == [100, 200]
+
+
 def test_a_via_gets_the_source_address_and_the_response_is_sent_there(flow):
     """A response to another address would not reach a caller behind NAT (RFC 3581)."""
     response = flow.request("OPTIONS", via="SIP/2.0/UDP office.example:5060;rport;branch=z9hG4bKx")
