Let optional and undocumented keys come and go in the dense trials' reloads

Need: the trials change one figure of a file with each SIGHUP, so that no seed could find a file that is rejected for a key.

Change: each second configuration has an optional key in all classes but the first and in the prices, an undocumented one changes its type each time, without a draw of the seed, so that schedules stay the same; `reload result=rejected` in a softswitch's log is a fault of the trial.

--- a/stairhatch/soak/softswitch.py
+++ b/stairhatch/soak/softswitch.py
@@ -18,6 +18,7 @@
 from stairhatch.emulators.ports import Address
 from stairhatch.soak.deployment import Deployment
 from stairhatch.soak.errors import TrialError
+from stairhatch.soak.optional_keys import with_optional_keys
 from stairhatch.soak.port import reserve_port
 from stairhatch.soak.record import Kind, Record
 
@@ -30,6 +31,7 @@
 PROCESSOR_WAIT_FIELD = 1  # of /proc/PID/schedstat: the time spent waiting for a processor, in nanoseconds
 FAULT_EVENTS = ("fault", "rule_violated")  # log events that report a fault of the program
 TRACEBACK = "Traceback"
+REJECTED_RELOAD = " reload result=rejected "  # a trial's configurations are all sound
 PR_SET_PDEATHSIG = 1  # option of prctl(2)
 
 
@@ -56,6 +58,7 @@
         self.coordinator = coordinator
         self.known_events: dict[str, Any] = {}
         self.settings = deployment.settings(index)
+        self.reloads = 0
         self._reserved_ports = [reserve_port() for _ in range(2)]  # keeps the ports between two processes
         self.address: Address = self._reserved_ports[0].getsockname()
         self.admin: Address = self._reserved_ports[1].getsockname()
@@ -178,10 +181,11 @@
         self.note_faults()
 
     def note_faults(self) -> None:
-        """Record each line of the process' log that reports a fault of the program, or a traceback."""
+        """Record each line of the process' log that reports a fault, a traceback or a rejected reload."""
         for line in self.log_path.read_text(errors="replace").splitlines():
             words = line.split(" ", 2)
-            if (len(words) > 1 and words[1] in FAULT_EVENTS) or line.startswith(TRACEBACK):
+            is_fault = len(words) > 1 and words[1] in FAULT_EVENTS
+            if is_fault or line.startswith(TRACEBACK) or REJECTED_RELOAD in line:
                 self.record.note(Kind.LOG_LINE, softswitch=self.process_name, detail=line)
 
     # ---- configuring and observing the running process ----
@@ -201,7 +205,7 @@
                     "cores": 1.0, "memory_mb": self.deployment.memory_mb, "sockets": self.deployment.sockets,
                 },
                 "coordinator": f"{self.coordinator[0]}:{self.coordinator[1]}",
-                "known": self.known_events, "settings": self.settings,
+                "known": self.known_events, "settings": with_optional_keys(self.settings, self.reloads),
             }
         )  # fmt: skip
         new = self.config_path.with_suffix(".new")
@@ -211,6 +215,7 @@
     def reload(self) -> None:
         """Replace the configuration file and send SIGHUP; without a running process, do nothing."""
         if self.process is not None and self.process.poll() is None:
+            self.reloads += 1
             self.write_config()
             self.process.send_signal(signal.SIGHUP)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,12 +7,16 @@
 import subprocess
 import sys
 from dataclasses import replace
+from itertools import pairwise
 
 import pytest
 import uvloop
 
+from stairhatch.config.platform import RELOAD_SCHEMA
+from stairhatch.settings.lost_keys import check_no_key_lost
 from stairhatch.soak.batch import TrialRequest, run_trial
 from stairhatch.soak.errors import TrialError
+from stairhatch.soak.optional_keys import with_optional_keys
 from stairhatch.soak.port import Port
 from stairhatch.soak.rules import RuleChecker
 from stairhatch.soak.schedule import ServerVanishes, TimedAction, draw_schedule
@@ -37,6 +41,16 @@
     assert len(effects) == 3
 
 
+def test_reloads_of_a_trial_add_leave_out_and_change_keys_that_are_not_required():
+    """Trials whose configurations all have the same keys would not find a file that is rejected for one."""
+    settings = draw_schedule(7).deployment.settings(0)
+    files = [{"settings": with_optional_keys(settings, change)} for change in range(13)]
+    left_out = [check_no_key_lost(old, new, RELOAD_SCHEMA) for old, new in pairwise(files)]
+    paths = {path for each in left_out for path in each}
+    assert {"settings.prices.fleet", "settings.undocumented"} < paths
+    assert len({type(each["settings"].get("undocumented")) for each in files}) == 4
+
+
 @pytest.mark.parametrize("words", [["trial", "-1"], ["batch", "9-3"], ["trial", "x"]])
 def test_an_unusable_seed_ends_the_command_with_an_error_and_exit_code_2(words):
     """An unusable seed is an error of the command line, not a failed trial."""
