Require the list of events in the configuration again

Cause: the parser let an answer without events pass for the coordinator and the configuration alike.

Change: only the client of the coordinator takes an answer without events for one without news; the parser is strict.

--- a/stairhatch/fleet/endpoint_relay.py
+++ b/stairhatch/fleet/endpoint_relay.py
@@ -39,7 +39,7 @@
         Events that are not newer than `index` are ignored. Of the terminated servers, the last
         `MAX_TERMINATED` are kept.
         """
-        for event in answer.get("updates") or ():
+        for event in answer["updates"]:
             endpoints = event.get("endpoints")
             index = int(event["index"])
             if endpoints is not None and index > self.index:
--- a/stairhatch/node/endpoint_list.py
+++ b/stairhatch/node/endpoint_list.py
@@ -61,7 +61,7 @@
     try:
         last_index = int(answer["index"])
         events: list[WatchEvent] = []
-        for event in answer.get("updates") or ():
+        for event in answer["updates"]:
             index = int(event["index"])
             endpoints = event.get("endpoints")
             if index > after and endpoints is not None:
--- a/stairhatch/node/service_discovery.py
+++ b/stairhatch/node/service_discovery.py
@@ -34,6 +34,13 @@
 MAX_REQUESTS = 3  # in all for an answer with an unreadable line; then its other lines are applied
 
 
+def _with_events(answer: Any) -> Any:
+    """Return an answer with an empty list of events if it has none, which tells that nothing has changed."""
+    if isinstance(answer, dict) and answer.get("updates") is None:
+        return {**answer, "updates": []}
+    return answer
+
+
 class ServiceDiscoveryClient(ConnectionProtocol):
     """The client protocol that polls one coordinator.
 
@@ -157,6 +164,7 @@
         drains that they notify. Raises ServiceDiscoveryError if the answer cannot be applied.
         """
         self._unusable_answers += 1
+        answer = _with_events(answer)
         skipped = ""
         if skip_lines:
             readable = skip_unreadable(self.call_manager, answer, self.last_index)
--- a/tests/test_discovery_parts.py
+++ b/tests/test_discovery_parts.py
@@ -169,6 +169,13 @@
     assert discovery.states() == {"a": "ready", "b": "ready", "c": "ready"}
 
 
+@pytest.mark.parametrize("known", [{"index": 1}, {"index": 1, "updates": None}, {"updates": []}])
+def test_a_configured_list_must_have_its_index_and_events(known):
+    """Guards against a truncated list in the configuration that is taken for one without events."""
+    with pytest.raises(ServiceDiscoveryError):
+        parse_answer(known, 0)
+
+
 @pytest.mark.parametrize("key", ["instanceId", "hostPort", "cell", "lifecycle"])
 def test_a_configured_list_must_have_the_keys_of_its_lines(key):
     """Guards against a truncated line in the configuration that is taken for a server in an unknown state."""
