Do not take an object without index and events for news that nothing has changed

What happens: the coordinator answers `{"error": "busy"}` with 200. At the third request it counts as a complete answer: the list is confirmed by it, and with it that no server has restarted.

Cause: since an unreadable index is that of the last event, also where there is no event.

No case shows it.

Change: without an index there has to be an event that can be read; else the answer is rejected, as before.

--- a/stairhatch/node/endpoint_list_repair.py
+++ b/stairhatch/node/endpoint_list_repair.py
@@ -41,19 +41,22 @@
     content only a `terminated` lifecycle is accepted. In a complete list an unreadable line without an
     instance id may belong to any server that the list does not contain, so all of these are marked as
     draining. An event without readable lines is left out: the list of before remains in force. An index that
-    cannot be read is that of the next event. Raises ServiceDiscoveryError if the answer has no events at all.
+    cannot be read is that of the next event. Raises ServiceDiscoveryError if the answer has no list of
+    events, or neither an index nor an event that can be read: it may be no answer of a coordinator.
     """
     updates = answer.get("updates") if isinstance(answer, dict) else None
     if not isinstance(updates, list):
         raise ServiceDiscoveryError("the answer has no list of events")
     index = _index_of(answer.get("index"))
     repairer = _AnswerRepairer(after, index, _known_lines(call_manager))
-    repaired = [repairer.repair_event(event) for event in updates]
+    readable = [event for event in map(repairer.repair_event, updates) if event is not None]
     if index is None:
+        if not readable:
+            raise ServiceDiscoveryError("the answer has neither an index nor a readable event")
         repairer.reasons.append(f"index {answer.get('index')!r}")
         index = repairer.after
     return ReadableAnswer(
-        {**answer, "index": index, "updates": [event for event in repaired if event is not None]},
+        {**answer, "index": index, "updates": readable},
         joined_reasons(repairer.reasons),
     )
 
--- a/tests/test_discovery_parts.py
+++ b/tests/test_discovery_parts.py
@@ -160,6 +160,29 @@
     assert discovery.states() == {"a": "draining", "b": "ready", "c": "ready"}
 
 
+@pytest.mark.parametrize(
+    "raw",
+    [
+        {},
+        {"error": "busy"},
+        {"updates": None},
+        {"index": "x"},
+        {"index": None, "updates": []},
+        {"updates": [5]},
+    ],
+    ids=repr,
+)
+def test_an_object_that_is_no_answer_does_not_confirm_the_list(raw):
+    """Guards against an error of the coordinator that counts as news that nothing has changed: the list is
+    then taken as confirmed, and a server as not restarted.
+    """
+    discovery = Discovery()
+    confirmed_at = discovery.servers.list_confirmed_at
+    discovery.answer(raw, times=2 * MAX_REQUESTS)
+    assert discovery.servers.list_confirmed_at == confirmed_at
+    assert "discovery_answers" not in discovery.node.call_manager.counters.counts
+
+
 @pytest.mark.parametrize("raw", [[], 3, {"index": 5, "updates": 3}, {"index": 5, "updates": {"x": 1}}])
 def test_an_answer_without_events_of_the_right_form_is_polled_again(raw):
     """Guards against events that are passed over although another answer may bring them."""
