Give a server with an unreadable start whole milliseconds, as a line has

What callers see: a new server whose start can't be read, and later a line of it that can't be read: the server counts as restarted, and its calls from before that start as lost.

Cause: since its start is the present time; the line that replaces an unreadable one is rounded to milliseconds, and so was later than the start known in half of the cases.

No case shows it.

Change: that start is rounded down to whole milliseconds, which the line keeps.

--- a/stairhatch/node/endpoint_list.py
+++ b/stairhatch/node/endpoint_list.py
@@ -96,13 +96,15 @@
 def _with_known_start(call_manager: CallManager, record: ServerRecord) -> ServerRecord:
     """Return the record with a start in place of UNKNOWN_START.
 
-    A known server keeps its start. A new one counts as just started, so that it is not overloaded while cold.
+    A known server keeps its start. A new one counts as just started, so that it is not overloaded while cold;
+    its start is a whole number of milliseconds, as in a line, so that a line made of the record is not later.
     """
     if record.started_at != UNKNOWN_START:
         return record
     server = call_manager.servers.by_instance.get(record.instance)
-    started_at = server.record.started_at if server is not None else call_manager.clock()
-    return record._replace(started_at=started_at)
+    if server is not None:
+        return record._replace(started_at=server.record.started_at)
+    return record._replace(started_at=math.floor(call_manager.clock() * MS_PER_S) / MS_PER_S)
 
 
 def _invalid_event(error: Exception) -> ServiceDiscoveryError:
