Wait for the line on the terminal that follows the log event of a shutdown

Cause: the shutdown writes its log event and then the line for the terminal.

Change: it waits for the line as well. What it requires is as before.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -352,7 +352,7 @@
     program.process.send_signal(signal.SIGTERM)
     wait_until(lambda: program.log_events("waiting_for_dialogs"), "the log event that names the dialogs")
     assert program.log_events("waiting_for_dialogs")[0]["dialogs"] == "1"
-    assert "waiting for 1 calls" in program.log_text()
+    wait_until(lambda: "waiting for 1 calls" in program.log_text(), "the line on the terminal")
     assert not server.messages("FINISH")
     assert program.process.poll() is None
     if hangs_up:
