Lengthen a lease's rounds until the voters' disks can keep up

Cause: a round without a majority ends after a fixed time, and its release withdraws the grants that wait for their sync. The next round has a higher token and so needs a new sync.

Change: a round that lacked answers doubles the time of the next one, up to half of the lease duration; a held lease resets it. A vote that is on disk later than the first round lasts is logged and counted (slow_write).

--- a/stairhatch/fault_injection/run_report.py
+++ b/stairhatch/fault_injection/run_report.py
@@ -22,6 +22,7 @@
 )
 from stairhatch.fault_injection.schedule import ENDPOINT_LIST_LEASE, FaultKind, FaultSchedule
 from stairhatch.fleet.effects import LeaseEventKind
+from stairhatch.fleet.event_recorder import SLOW_WRITE
 
 VOTER_SET_ADVANCED = "went on"  # activation name: a voter advanced to the next voter set
 DISK_FULL_REASON, DISK_READ_ONLY_REASON = "No space left", "Read-only"  # parts of os.strerror texts
@@ -88,6 +89,7 @@
         counts[VOTER_SET_ADVANCED] += sum(
             each.event == LeaseEventKind.VOTER_SET_ADVANCED.value for each in self.records
         )
+        counts[SLOW_WRITE] += sum(each.event == SLOW_WRITE for each in self.records)
         counts[FaultKind.DISK_SLOW.value] += 0  # reported even if zero
         counts.update(self.link_activations)
         return counts
--- a/stairhatch/fleet/event_recorder.py
+++ b/stairhatch/fleet/event_recorder.py
@@ -23,7 +23,9 @@
     LeaseEventKind.NOT_VOTING,
     LeaseEventKind.VOTER_SET_ADVANCED,
 )
+SLOW_WRITE = "slow write"  # word of the history for a vote that was on disk late
 REJECTION_LOG_INTERVAL_S = 1.0  # minimum time between two log lines about rejected fencing tokens
+SLOW_WRITE_LOG_INTERVAL_S = 1.0  # minimum time between two log lines about slow writes
 FILE_MODE = 0o644
 
 
@@ -67,6 +69,7 @@
         self._counters = counters
         self._clock = clock
         self._rejection_logged_at = float("-inf")
+        self._slow_write_logged_at = float("-inf")
 
     def record(self, event: LeaseEvent) -> None:
         """Record an event in the history and the counters, and in the log if it concerns operators.
@@ -90,6 +93,17 @@
                 reason=event.reason or "-",
             )
 
+    def record_slow_write(self, duration_s: float) -> None:
+        """Record that a vote was on disk only `duration_s` after its request, later than a round lasts.
+
+        The log has at most one line per `SLOW_WRITE_LOG_INTERVAL_S`.
+        """
+        self.history.write(SLOW_WRITE, seconds=duration_s)
+        self._counters.add("fleet_slow_writes")
+        if self._clock() - self._slow_write_logged_at > SLOW_WRITE_LOG_INTERVAL_S:
+            self._slow_write_logged_at = self._clock()
+            self._log("fleet", what="slow_write", seconds=f"{duration_s:.3f}")
+
     def _is_rejection_to_log(self, event: LeaseEvent) -> bool:
         if event.kind is not LeaseEventKind.TOKEN_REJECTED:
             return False
--- a/stairhatch/fleet/lease.py
+++ b/stairhatch/fleet/lease.py
@@ -42,6 +42,7 @@
 MAX_OPEN_ROUNDS = 4  # answers to older rounds are ignored
 MAX_TOKEN_RETRIES = 3  # successive rounds without backoff after rejections for a low token alone
 MAX_BACKOFF_DOUBLINGS = 6
+MAX_ROUND_DIVISOR = 2  # a round waits for answers at most duration / MAX_ROUND_DIVISOR
 RENEWAL_DIVISOR = 3  # a held lease is renewed after duration / RENEWAL_DIVISOR
 RENEWAL_RETRY_DIVISOR = 6  # an unanswered renewal is repeated after duration / RENEWAL_RETRY_DIVISOR
 TOKEN_RETRY_DIVISOR = 8  # the pause before a higher token is at most round timeout / TOKEN_RETRY_DIVISOR
@@ -53,13 +54,18 @@
 
     duration_s: float = 3.0
     clock_drift: float = 0.01  # upper bound of the drift of each clock, as a fraction
-    round_timeout_s: float = 0.25  # how long a request for a lease that is not held waits for answers
+    round_timeout_s: float = 0.25  # how long the first request for a lease waits for answers
 
     @property
     def holder_duration_s(self) -> float:
         """How long a holder may act under a lease, in seconds from the moment of its request."""
         return self.duration_s * (1 - self.clock_drift)
 
+    @property
+    def longest_round_s(self) -> float:
+        """How long a request waits for answers at most, after earlier ones got no answer in time."""
+        return max(self.round_timeout_s, self.duration_s / MAX_ROUND_DIVISOR)
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseConfig:
@@ -127,6 +133,7 @@
         self.known_holder: str | None = None  # the holder that a voter reported most recently
         self.held_by_other = False  # a majority of voters rejected because others hold or reserved the lease
         self._request_id = 0
+        self._round_timeout_s = config.timings.round_timeout_s  # of the next request, while none is held
         self._backoff_doublings = 0
         self._token_retries = 0
         self._raised_token = 0  # the higher token that is requested while the lease is held; 0: none
@@ -230,7 +237,7 @@
         if self.state is LeaseState.REQUESTING:
             self.highest_token += 1
             self.fencing_token = self.highest_token
-            self.due_at = now + self.timings.round_timeout_s
+            self.due_at = now + self._round_timeout_s
         else:  # a renewal, which is repeated up to three times before the lease expires
             self.due_at = now + self.timings.duration_s / RENEWAL_RETRY_DIVISOR
             if self._must_raise_token:
@@ -262,6 +269,9 @@
         """
         failed_round = self._latest_round()
         self._rounds.clear()
+        unanswered = len(self.voters) - len(failed_round.granted_by) - len(failed_round.remaining_s)
+        if unanswered and len(failed_round.granted_by) + unanswered >= self.majority:
+            self._lengthen_rounds()
         self.held_by_other = failed_round.holders.total() >= self.majority
         is_free = bool(failed_round.low_token_count) and not failed_round.holders
         if is_free and self._token_retries < MAX_TOKEN_RETRIES:  # retry above the highest reported token
@@ -271,12 +281,19 @@
             return self._release_round(failed_round)
         self._token_retries = 0
         pause_s = self._pause_s(failed_round)
-        unanswered = len(self.voters) - len(failed_round.granted_by) - len(failed_round.remaining_s)
         if not self.reason or unanswered >= self.majority:
             self.reason = f"{unanswered} of {len(self.voters)} voters did not answer"
         self.due_at = now + pause_s + self.random_source.random() * self.timings.round_timeout_s / 2
         return self._release_round(failed_round)
 
+    def _lengthen_rounds(self) -> None:
+        """Double the time that the next round waits for answers.
+
+        A vote is granted once it is on disk, and the release at the end of a round withdraws a grant that has
+        not been sent yet. With a fixed time, voters whose disks take longer would never grant a lease.
+        """
+        self._round_timeout_s = min(2 * self._round_timeout_s, self.timings.longest_round_s)
+
     def _pause_s(self, failed_round: RequestRound) -> float:
         """Return the time until a majority could grant the lease, estimated from a failed round's answers."""
         missing_grants = self.majority - len(failed_round.granted_by)
@@ -326,6 +343,7 @@
             return []
         self.expires_at = expires_at
         self.reason = ""
+        self._round_timeout_s = self.timings.round_timeout_s
         self._backoff_doublings = 0
         self.known_holder = self.identity.name
         self.held_by_other = False
--- a/stairhatch/fleet/runtime.py
+++ b/stairhatch/fleet/runtime.py
@@ -264,11 +264,16 @@
 
     def _persist_votes(self, store: VoterStore, write: PersistVotes) -> None:
         self.counters.add("fleet_disk_writes")
+        started_at = clock()
 
         def completed(fault: str) -> None:
-            if not self._is_stopped:
-                self.carry_out(self.member.write_completed(clock(), write.write_id, fault))
-                self._tick()
+            if self._is_stopped:
+                return
+            now = clock()
+            if now - started_at > self.config.timings.round_timeout_s:
+                self.recorder.record_slow_write(now - started_at)
+            self.carry_out(self.member.write_completed(now, write.write_id, fault))
+            self._tick()
 
         store.persist(write, completed)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,14 @@
 
 import pytest
 
+from stairhatch.fault_injection.lease_rules import find_unheld, find_violations
 from stairhatch.fault_injection.mutations import mutation_applied
+from stairhatch.fault_injection.schedule import (
+    ENDPOINT_LIST_LEASE,
+    FaultKind,
+    FaultSchedule,
+    ScheduledFault,
+)
 from stairhatch.fault_injection.schedule_generator import draw_schedule
 from stairhatch.fault_injection.state_exploration import ExplorationBounds, explore
 from stairhatch.fault_injection.trial import TrialOptions, run_seeds
@@ -143,6 +150,20 @@
     assert not run_seeds([1753, 2357, 2753]).failed
 
 
+@pytest.mark.parametrize("delay_s", [0.3, 0.6])
+def test_voters_whose_disks_take_longer_than_a_round_grant_a_lease(delay_s):
+    """A request is not given up again and again before the votes for it are on disk."""
+    names = ("v0", "v1", "v2", "a", "b")
+    slow_disks = [
+        ScheduledFault(0.0, FaultKind.DISK_SLOW, member, duration_s=60.0, amount=delay_s) for member in VOTERS
+    ]
+    schedule = FaultSchedule(60.0, names, tuple(VOTERS), tuple(slow_disks))
+    for seed in range(10):
+        records = VirtualCluster(schedule, seed).run()
+        assert not find_violations(records)
+        assert not list(find_unheld(records, [ENDPOINT_LIST_LEASE], 30.0, 60.0)), seed
+
+
 def persisted_state(storage_id, *, admitted):
     """Return the state of a data directory whose voter has been admitted, or of an empty one."""
     voter_set = VoterSet(1, tuple(VOTERS), 0, 1) if admitted else None
