Watch the calls of a connection that is closed to make room for another

Callers saw: a call that is over stays up for its caller, as no release comes.

Cause: the oldest of three superseded connections is closed when a fourth is dialled. If it had been cut off silently, the server does not learn of the close and sends the releases of its calls into it. Calls of connections found dead are watched, and a connection is opened every 6 s for them; those of a connection that was closed before it was found dead were not.

Evidence: the new case of test_release_recovery.py.

Change: the calls of the closed connection are watched as well. The test fails without that and passes with it, and so do the tests of connections, servers and releases.

--- a/stairhatch/node/release_recovery.py
+++ b/stairhatch/node/release_recovery.py
@@ -2,8 +2,8 @@
 
 A server sends the release of a call on the connection of its set-up, and again on the next connection that
 is opened. If that connection was cut off silently, the server takes it for open, and nothing is received on
-it. So another connection is opened from time to time while calls are established that were set up on a dead
-connection. The module uses no socket.
+it. So another connection is opened from time to time while calls are established that were set up on a
+connection that is dead, or was closed before it was known whether it is. The module uses no socket.
 """
 
 from __future__ import annotations
@@ -35,7 +35,7 @@
 
 
 class ReleaseRecovery:
-    """The established calls whose set-up connection is dead, and the dials for their releases."""
+    """The established calls whose set-up connection may be dead, and the dials for their releases."""
 
     def __init__(self, pool: RecoveringPool) -> None:
         """Start without calls."""
@@ -43,8 +43,8 @@
         self._call_manager = pool.call_manager
         self._calls: dict[int, set[str]] = {}  # ids of calls, by server id
 
-    def connection_dead(self, server: RosterServer, call_ids: Iterable[str]) -> None:
-        """Watch the calls with these ids, which were set up on a connection to a server that is dead."""
+    def connection_ended(self, server: RosterServer, call_ids: Iterable[str]) -> None:
+        """Watch the calls that were set up on a connection whose end the server may not learn."""
         established = set(filter(self._call_manager.calls.is_established, call_ids))
         if not established:
             return
--- a/stairhatch/node/server_pool.py
+++ b/stairhatch/node/server_pool.py
@@ -217,12 +217,14 @@
         """Make room for one more connection: let the oldest superseded one without pending set-ups close.
 
         A server reports its load on four connections. It repeats releases sent on the closed connection on
-        the one that is opened next.
+        the one that is opened next. If the connection was cut off silently, the server does not learn that it
+        is closed and sends later releases on it as well.
         """
         oldest_first = [each for each in self.superseded if each.server is server]
         if len(oldest_first) >= MAX_SUPERSEDED and (
             old := next((e for e in oldest_first if not e.pending_setups), None)
         ):
+            self.release_recovery.connection_ended(server, old.established_calls)
             old.end_superseded_period()
 
     def message_received(
@@ -256,7 +258,7 @@
             instance = old.server.record.instance
             self.call_manager.counters.add("server_connections_dead")
             self.call_manager.log("server_connection_dead", server=instance, open=len(old.pending_setups))
-            self.release_recovery.connection_dead(old.server, old.established_calls)
+            self.release_recovery.connection_ended(old.server, old.established_calls)
             old.abort_as_dead()
             active = self.active.get(old.server.id)
             if active is not None:
--- a/tests/test_release_recovery.py
+++ b/tests/test_release_recovery.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import pytest
+
+from stairhatch.node.liveness_checker import MAX_SUPERSEDED
 from stairhatch.node.server_connection import ServerConnection
 
 from .support.accepted_connections import take_statuses
@@ -12,22 +15,43 @@
 
 
 class CallOnDeadConnection:
-    """A call whose set-up connection has fallen silent, at a server that reports its load on all others."""
+    """A call at a server that reports its load on all connections but those that have fallen silent."""
 
     def __init__(self) -> None:
         self.server = ServerOnClock(list_answers=True)
         self.ident = self.server.establish_call()
-        self.dead = self.server.connection
+        self.dead = [self.server.connection]
         self.ended_release = b""  # sent by the server on each connection that comes up
-        self.run(4.0)
-        assert self.dead in self.server.aborted
+
+    @classmethod
+    def found_dead(cls) -> CallOnDeadConnection:
+        """Return a call whose set-up connection has been found to be dead."""
+        call = cls()
+        call.run(4.0)
+        assert call.dead[0] in call.server.aborted
+        return call
+
+    @classmethod
+    def closed_as_oldest(cls) -> CallOnDeadConnection:
+        """Return a call whose dead set-up connection was closed to make room for others, also silent ones."""
+        call = cls()
+        pool = call.server.pool
+        for _ in range(MAX_SUPERSEDED + 1):
+            pool.dial_standby(pool.active[1])
+            call.dead.append(pool.standby[1])
+            pool.standby[1].connection_made()
+        assert call.dead[0].can_close()
+        assert call.dead[0] not in call.server.aborted
+        call.end_closed_connections()
+        call.run(4.0)
+        return call
 
     def run(self, seconds: float) -> None:
-        """Advance the clock, with load reports on all connections but the dead one."""
+        """Advance the clock, with load reports on all connections but the dead ones."""
         for _ in range(round(seconds / REPORT_INTERVAL_S)):
             self.server.run(REPORT_INTERVAL_S)
             for connection in self.server.dialled:
-                if connection is not self.dead and connection.liveness.is_connected:
+                if connection not in self.dead and connection.liveness.is_connected:
                     connection.receive_data(LOAD_LINE)
             self.end_closed_connections()
             self.bring_up_standby()
@@ -52,10 +76,11 @@
         self.ended_release = b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % self.ident.encode()
 
 
-def test_the_end_of_a_call_is_reported_although_its_setup_connection_is_dead() -> None:
+@pytest.mark.parametrize("begin", [CallOnDeadConnection.found_dead, CallOnDeadConnection.closed_as_oldest])
+def test_the_end_of_a_call_is_reported_although_its_setup_connection_is_dead(begin) -> None:
     """Guards against calls that are over and never released towards their callers (issue 58, case 7)."""
     for established_s in (1.0, 5.0, 30.0):
-        call = CallOnDeadConnection()
+        call = begin()
         call.run(established_s)
         assert call.server.has_call(call.ident)
         call.end()
@@ -65,7 +90,7 @@
 
 def test_no_connection_is_opened_for_releases_once_the_calls_are_over() -> None:
     """Guards against connections that are opened for ever after one was dead."""
-    call = CallOnDeadConnection()
+    call = CallOnDeadConnection.found_dead()
     call.end()
     call.run(RELEASE_LIMIT_S)
     assert not call.server.has_call(call.ident)
