Trace on which caller's connection a release is sent and when it is acknowledged

Cause: the trace told when a call was released, not whether its caller was told in time.

Change: release_sent (call, caller's connection, attempt) and release_acknowledged (call, time since the first attempt), in the trace only.

--- a/stairhatch/node/platform_connection.py
+++ b/stairhatch/node/platform_connection.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
+from itertools import count
+
 from stairhatch.node import sip_message as sip
 from stairhatch.node import sip_parser
 from stairhatch.node.caller_output import CallerOutput, UnreadReason
 from stairhatch.node.calls import ReleaseCause
-from stairhatch.node.memory_budgets import (
-    PENDING_SETUP_BYTES,
-)
+from stairhatch.node.memory_budgets import PENDING_SETUP_BYTES
 from stairhatch.node.platform_registry import PendingSetups, PlatformCall, PlatformRegistry
 from stairhatch.node.platform_request import (
     ALLOW,
@@ -25,6 +25,7 @@
 from stairhatch.node.protocol import ConnectionProtocol
 
 MAX_UNUSABLE_REQUESTS = 8  # a connection is closed after this many unusable requests
+CONNECTION_NUMBERS = count(1)
 
 
 class PlatformConnection(ConnectionProtocol):
@@ -37,6 +38,7 @@
         super().__init__()
         self.registry = registry
         self.call_manager = registry.call_manager
+        self.number = next(CONNECTION_NUMBERS)
         self.pending = PendingSetups(registry.pending_budget)  # without a final response
         self.established_calls: set[str] = set()  # set up on this connection and not known to have ended
         self.requests = 0
--- a/stairhatch/node/release_delivery.py
+++ b/stairhatch/node/release_delivery.py
@@ -25,6 +25,7 @@
 class ReleaseChannel(Protocol):
     """Interface of a connection that releases can be sent on."""
 
+    number: int  # identifies the connection in the log
     closing: bool
     is_caller: bool  # used by a caller, not for health checks only
     requests: int  # complete requests received on the connection
@@ -74,7 +75,11 @@
 
         Returns whether an unacknowledged release of the call existed.
         """
-        return self.pending.pop(call_id, None) is not None
+        release = self.pending.pop(call_id, None)
+        if release is not None and self._call_manager.context.tracing:
+            after_s = round(self._call_manager.clock() - release.since, 3)
+            self._call_manager.log("release_acknowledged", call=call_id, after_s=after_s)
+        return release is not None
 
     def awaits_acknowledgement(self, channel: ReleaseChannel, call_ids: set[str]) -> bool:
         """Whether one of these calls has an unacknowledged release that was last sent on this connection."""
@@ -131,6 +136,10 @@
             release.tried.append(channel)
             channel.send_release(call_id, release.cause)
             attempts = len(release.tried)
+            if call_manager.context.tracing:
+                call_manager.log(
+                    "release_sent", call=call_id, caller_connection=channel.number, attempt=attempts
+                )
             call_manager.timers.schedule(
                 now + ACKNOWLEDGEMENT_TIMEOUT_S,
                 partial(self._retry_unless_acknowledged, call_id, release, attempts),
