--- a/tests/test_release_recovery.py
+++ b/tests/test_release_recovery.py
@@ -11,6 +11,7 @@
 from .support.server_on_clock import LOAD_LINE, ServerOnClock
 
 REPORT_INTERVAL_S = 0.5
+FIRST_REPORT_LIMIT_S = 0.5  # leaves half of the second in which a reported end must be told
 RELEASE_LIMIT_S = 8.0  # from the unreported end of a call to its release (the platform's protocol page)
 
 
@@ -88,6 +89,18 @@
         assert take_statuses(call.server.caller, call.ident)[:1] == ["BYE"], f"ended after {established_s} s"
 
 
+def test_a_connection_that_is_silent_from_the_start_is_replaced_at_once() -> None:
+    """Guards against releases that are sent on a new connection which is silent, and heard too late."""
+    call = CallOnDeadConnection()
+    pool = call.server.pool
+    pool.dial_standby(pool.active[1])
+    silent = pool.standby[1]
+    silent.connection_made()
+    call.server.node.run(FIRST_REPORT_LIMIT_S)
+    assert pool.active[1] is silent
+    assert 1 in pool.standby
+
+
 def test_no_connection_is_opened_for_releases_once_the_calls_are_over() -> None:
     """Guards against connections that are opened for ever after one was dead."""
     call = CallOnDeadConnection.found_dead()
