Do not take a server connection for dead on which nothing is due

Cause: a superseded connection was ended as dead if any message came on its successor and none on it within 0.2 s. Only load reports come on all connections at once; an answer on the successor says nothing of the other. A release that the server wrote on a sound connection as it was ended was lost.

--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -214,6 +214,43 @@
     assert old.can_close()
 
 
+def test_a_superseded_connection_on_which_nothing_is_due_is_not_taken_for_dead():
+    """Guards against releases that are lost as their connection, quiet for a moment, is ended (issue 52)."""
+    now = [1000.0]
+    call_manager, pool, old, aborted = connected_server(now)
+    first = offer_written_call(call_manager, pool, now)
+    old.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % first.encode())
+    pool.dial_standby(old)
+    successor = pool.standby[1]
+    successor.connection_made()
+    for _ in range(4):
+        pass_time(call_manager, now, 0.3)
+        ident = offer_written_call(call_manager, pool, now)
+        successor.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+    pass_time(call_manager, now, 0.3)
+    assert not aborted
+    assert pool.superseded == [old]
+    old.receive_data(b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % first.encode())
+    assert not call_manager.calls.is_established(first)
+
+
+def test_calls_of_a_quiet_superseded_connection_are_watched():
+    """Guards against releases that are sent for ever on a dead connection on which nothing is due."""
+    now = [1000.0]
+    call_manager, pool, old, _ = connected_server(now)
+    first = offer_written_call(call_manager, pool, now)
+    old.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % first.encode())
+    pool.dial_standby(old)
+    successor = pool.standby[1]
+    successor.connection_made()
+    since = now[0]
+    while not pool.standby:
+        assert now[0] < since + 7.0, "no connection is opened for the release"
+        ident = offer_written_call(call_manager, pool, now)
+        successor.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+        pass_time(call_manager, now, 0.3)
+
+
 def test_another_connection_is_opened_if_a_superseded_one_breaks_with_calls_established():
     """The server repeats a release that was in flight only on the next connection, so one must be opened."""
     now = [1000.0]
