--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -99,7 +99,6 @@
         self.superseded_at = -math.inf
         self.is_dead = False  # ended as another connection has shown it to be dead: the server may not know
         self.dead_check_pending = False  # a check is scheduled that ends this connection if it stays silent
-        self.calls_watched = False  # the calls set up here are watched, as nothing has arrived for long
         self.established_calls: set[str] = set()  # ids of calls set up here, where they are released
         self.send_queue = SendQueue(pool.call_manager, self.liveness)
         self.pending_setups = self.send_queue.pending_setups  # written and unanswered, by call id
@@ -144,16 +143,8 @@
             return True
         for attempt in self.pending_setups.values():  # the first attempt is the one written first
             return liveness.is_silent_since(now, attempt.written_at)
-        is_report_overdue = liveness.is_first_report_overdue(now) or liveness.is_load_report_overdue(now)
-        return is_report_overdue and self.pool.call_manager.calls.has_established_at(self.server)
-
-    def is_message_due(self, now: float) -> bool:
-        """Return whether the server owes a message here: its first report or a response to a set-up."""
-        liveness = self.liveness
-        return (
-            bool(self.pending_setups)
-            or liveness.is_response_overdue(now)
-            or liveness.is_first_report_overdue(now)
+        return liveness.is_load_report_overdue(now) and self.pool.call_manager.calls.has_established_at(
+            self.server
         )
 
     # ---- closing ----
@@ -351,7 +342,6 @@
         call_manager.counters.add(RECEIVED_COUNTERS.get(verb, "got_other_verb"))
         is_load_report = verb == Verb.LOAD
         self.liveness.message_received(call_manager.clock(), is_load_report)
-        self.calls_watched = False
         self.pool.message_received(self, is_load_report, report)
         match verb:
             case Verb.STARTED:
