Count the retry pause from the write of the release, not from its queueing

Cause: the pause began as the release was queued. The connection's task writes it once the event loop runs.

Change: the pause begins anew as the release is written. If it is still queued as the pause ends, the pause is granted once more. New trace event.

Result: the new test fails without the change, for releases that are written half a pause and one and a half pauses late.

--- a/stairhatch/node/attempts.py
+++ b/stairhatch/node/attempts.py
@@ -14,6 +14,7 @@
 
 from stairhatch.node.calls import (
     Attempt,
+    Call,
     CallRegistry,
     CallState,
     ReleaseCause,
@@ -78,10 +79,7 @@
             self.end(attempt, AttemptOutcome.NOT_SENT, NO_LOAD)
             return
         self.timers.schedule(deadline, partial(self._time_out, call.number, attempt.number))
-        if now < call.pause_until:
-            self.timers.schedule(call.pause_until, lambda: self._send_setup(attempt))
-        else:
-            self._send_setup(attempt)
+        self._send_after_pause(attempt)
 
     def claim_transmission(self, attempt: Attempt) -> bool:
         """Return whether a set-up that is about to be written may be sent.
@@ -170,9 +168,23 @@
     def _release_at_server(self, attempt: Attempt) -> None:
         """Release a written attempt at its server, which may answer it all the same."""
         ident = attempt.call.request.ident
+        attempt.call.is_release_queued = True
         self.servers.pool.send_release(attempt.server, ident, ReleaseCause.NORMAL_CLEARING)
         attempt.call.unanswered_setups.append(UnansweredSetup(attempt.server, attempt.connection_id))
 
+    def release_written(self, call_id: str) -> None:
+        """Begin the retry pause of a call whose attempt is released: the server learns of it only now."""
+        call = self.calls.by_ident.get(call_id)
+        if call is None or call.state is not CallState.OFFERED:
+            return
+        call.is_release_queued = False
+        self._begin_pause(call)
+        if self.context.tracing:
+            self.context.log("setup_release_written", call=call_id)
+
+    def _begin_pause(self, call: Call) -> None:
+        call.pause_until = self.context.clock() + self.context.settings.safety.retry_pause_s + PAUSE_MARGIN_S
+
     def end(
         self,
         attempt: Attempt,
@@ -191,7 +203,7 @@
         attempt.ended = True
         call.attempt = None
         if withdrawn or (outcome in UNCLEAR_OUTCOMES and attempt.written):
-            call.pause_until = now + self.context.settings.safety.retry_pause_s + PAUSE_MARGIN_S
+            self._begin_pause(call)
         self._record_end(attempt, outcome, note, withdrawn)
         if call.caller_disconnected and call.state is CallState.OFFERED:
             self.answers.give_without_decision(call)
@@ -235,8 +247,21 @@
             and attempt.deadline > max(attempt.started_at, call.pause_until)
         )
 
-    def _send_setup(self, attempt: Attempt) -> None:
-        if not attempt.ended:
+    def _send_after_pause(self, attempt: Attempt) -> None:
+        """Send a set-up once the retry pause of its call is over.
+
+        A release that is not written by then is granted one more pause: this process may have been stopped,
+        and would write both at once. A connection that takes nothing delays the set-up no further.
+        """
+        call = attempt.call
+        if attempt.ended:
+            return
+        if call.is_release_queued and self.context.clock() >= call.pause_until:
+            call.is_release_queued = False
+            self._begin_pause(call)
+        if self.context.clock() < call.pause_until:
+            self.timers.schedule(call.pause_until, partial(self._send_after_pause, attempt))
+        else:
             self.servers.pool.send_setup(attempt)
 
     def _time_out(self, call_number: int, attempt_number: int) -> None:
--- a/stairhatch/node/calls.py
+++ b/stairhatch/node/calls.py
@@ -119,6 +119,7 @@
     attempt: Attempt | None = None
     attempts: int = 0
     pause_until: float = 0.0  # time before which no attempt may be sent
+    is_release_queued: bool = False  # the release of an attempt that was given up is not written yet
     established_at: float = 0.0
     caller_disconnected: bool = False  # the caller's connection has ended: no further attempt is made
     unanswered_setups: list[UnansweredSetup] = field(default_factory=list)  # oldest first
--- a/stairhatch/node/send_queue.py
+++ b/stairhatch/node/send_queue.py
@@ -182,6 +182,7 @@
             elif isinstance(item, PendingRelease):
                 item.writes += 1
                 self._written_releases.append((call_manager.clock(), item))
+                call_manager.attempts.release_written(item.call_id)
                 line = item.line
             else:
                 line = item
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -11,10 +11,11 @@
 
 from stairhatch.node import sip_message as sip
 from stairhatch.node.call_manager import CallManager
-from stairhatch.node.calls import ServerRecord
+from stairhatch.node.calls import ReleaseCause, ServerRecord
 from stairhatch.node.counters import Counters
 from stairhatch.node.io.network import Network
 from stairhatch.node.platform_frontend import PlatformFrontend
+from stairhatch.node.server_messages import render_release
 from stairhatch.node.server_pool import ServerConnectionPool
 from stairhatch.overload.events import Availability
 from stairhatch.settings.parser import settings_from_object
@@ -191,6 +192,26 @@
         call_manager.timers.run_due()
 
 
+@pytest.mark.parametrize("pauses", [0.5, 1.5])
+def test_the_retry_pause_begins_when_the_release_is_written(pauses):
+    """Guards against a set-up that is sent again before its release has had time to arrive (issue 52)."""
+    now = [1000.0]
+    call_manager, pool, dead, _ = connected_server(now)
+    pause_s = call_manager.settings.safety.retry_pause_s
+    ident = offer_written_call(call_manager, pool, now)
+    pool.dial_standby(dead)
+    successor = pool.standby[1]
+    successor.connection_made()
+    dead.abort_as_dead()
+    dead.connection_lost()
+    pass_time(call_manager, now, pauses * pause_s)  # nothing is written, as if the process was stopped
+    assert successor.data_to_send() == render_release(ident, ReleaseCause.NORMAL_CLEARING)
+    written_at = now[0]
+    while b"START" not in successor.data_to_send():
+        pass_time(call_manager, now, 0.01)
+    assert now[0] - written_at >= pause_s
+
+
 @pytest.mark.parametrize("ends", ["by the server", "by the caller"])
 def test_a_superseded_connection_is_read_while_calls_set_up_on_it_are_established(ends):
     """A release is not lost if its connection was superseded before the release arrives."""
