--- a/stairhatch/node/connection_liveness.py
+++ b/stairhatch/node/connection_liveness.py
@@ -13,7 +13,7 @@
 
 from stairhatch.node.calls import NO_CONNECTION
 
-RESPONSE_TIMEOUT_S = 0.35  # a connection silent for longer with a pending set-up is suspect
+RESPONSE_TIMEOUT_S = 0.35  # a connection silent for longer with a message due is suspect
 LONGEST_SILENCE_S = 1.5  # minimum silence that makes a connection with established calls suspect
 LONGEST_SILENCE_GAPS = 3.0  # the silence must also exceed this many mean gaps between load reports
 LEAST_LOAD_REPORTS = 2  # the mean gap is computed only from more reports than this
@@ -71,6 +71,11 @@
         """
         return now - max(self.last_activity_at, written_at) > RESPONSE_TIMEOUT_S
 
+    def is_first_report_overdue(self, now: float) -> bool:
+        """Return whether nothing was received although the server's load report is sent first of all."""
+        has_received = self.last_received_at >= self.connected_at
+        return not has_received and now - self.connected_at > RESPONSE_TIMEOUT_S
+
     def is_load_report_overdue(self, now: float) -> bool:
         """Return whether the silence exceeds both `LONGEST_SILENCE_S` and the allowed number of report gaps.
 
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -143,9 +143,8 @@
             return True
         for attempt in self.pending_setups.values():  # the first attempt is the one written first
             return liveness.is_silent_since(now, attempt.written_at)
-        return liveness.is_load_report_overdue(now) and self.pool.call_manager.calls.has_established_at(
-            self.server
-        )
+        is_report_overdue = liveness.is_first_report_overdue(now) or liveness.is_load_report_overdue(now)
+        return is_report_overdue and self.pool.call_manager.calls.has_established_at(self.server)
 
     # ---- closing ----
 
