Do not take a quiet server connection for dead, once more

A message other than a load report counts against a superseded connection only where a message is due on it; the calls of one that is quiet for 1.5 s are watched.

--- a/stairhatch/node/release_recovery.py
+++ b/stairhatch/node/release_recovery.py
@@ -43,8 +43,8 @@
         self._call_manager = pool.call_manager
         self._calls: dict[int, set[str]] = {}  # ids of calls, by server id
 
-    def connection_ended(self, server: RosterServer, call_ids: Iterable[str]) -> None:
-        """Watch the calls that were set up on a connection whose end the server may not learn."""
+    def watch(self, server: RosterServer, call_ids: Iterable[str]) -> None:
+        """Watch the calls that were set up on a connection which may bring no more of their releases."""
         established = set(filter(self._call_manager.calls.is_established, call_ids))
         if not established:
             return
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -99,6 +99,7 @@
         self.superseded_at = -math.inf
         self.is_dead = False  # ended as another connection has shown it to be dead: the server may not know
         self.dead_check_pending = False  # a check is scheduled that ends this connection if it stays silent
+        self.calls_watched = False  # the calls set up here are watched, as nothing has arrived for long
         self.established_calls: set[str] = set()  # ids of calls set up here, where they are released
         self.send_queue = SendQueue(pool.call_manager, self.liveness)
         self.pending_setups = self.send_queue.pending_setups  # written and unanswered, by call id
@@ -146,6 +147,15 @@
         is_report_overdue = liveness.is_first_report_overdue(now) or liveness.is_load_report_overdue(now)
         return is_report_overdue and self.pool.call_manager.calls.has_established_at(self.server)
 
+    def is_message_due(self, now: float) -> bool:
+        """Return whether the server owes a message here: its first report or a response to a set-up."""
+        liveness = self.liveness
+        return (
+            bool(self.pending_setups)
+            or liveness.is_response_overdue(now)
+            or liveness.is_first_report_overdue(now)
+        )
+
     # ---- closing ----
 
     def can_close(self) -> bool:
@@ -341,6 +351,7 @@
         call_manager.counters.add(RECEIVED_COUNTERS.get(verb, "got_other_verb"))
         is_load_report = verb == Verb.LOAD
         self.liveness.message_received(call_manager.clock(), is_load_report)
+        self.calls_watched = False
         self.pool.message_received(self, is_load_report, report)
         match verb:
             case Verb.STARTED:
--- a/stairhatch/node/server_pool.py
+++ b/stairhatch/node/server_pool.py
@@ -15,6 +15,7 @@
 
 from stairhatch.node.call_manager import CallManager
 from stairhatch.node.calls import Attempt, RosterServer
+from stairhatch.node.connection_liveness import LONGEST_SILENCE_S
 from stairhatch.node.failure_monitor import FailureMonitor
 from stairhatch.node.liveness_checker import MAX_SUPERSEDED, LivenessChecker
 from stairhatch.node.release_recovery import ReleaseRecovery
@@ -224,13 +225,17 @@
         if len(oldest_first) >= MAX_SUPERSEDED and (
             old := next((e for e in oldest_first if not e.pending_setups), None)
         ):
-            self.release_recovery.connection_ended(server, old.established_calls)
+            self.release_recovery.watch(server, old.established_calls)
             old.end_superseded_period()
 
     def message_received(
         self, connection: ServerConnection, is_load_report: bool, report: LoadReport
     ) -> None:
-        """Handle a received message, and check superseded connections that should have brought it too."""
+        """Handle a received message, and check superseded connections that should have brought one too.
+
+        A server sends its load reports, except the first, on all connections at once. Any other message shows
+        only that the server sends, so a connection on which nothing is due may well be silent meanwhile.
+        """
         self.failures.message_received(connection, is_load_report, report)
         if not self.superseded or connection in self.superseded:
             return
@@ -240,6 +245,9 @@
         for old in self.superseded:
             if old.server is not connection.server or old.dead_check_pending:
                 continue
+            if not is_load_report and not old.is_message_due(now):
+                self._watch_calls_of_silent(old, now)
+                continue
             both_up_at = max(connection.liveness.connected_at, old.liveness.connected_at)
             if max(old.liveness.last_received_at, both_up_at) < now - MAX_ARRIVAL_SKEW_S:
                 old.dead_check_pending = True
@@ -247,6 +255,12 @@
                     now + MAX_ARRIVAL_SKEW_S, partial(self._close_dead, old, now)
                 )
 
+    def _watch_calls_of_silent(self, old: ServerConnection, now: float) -> None:
+        """Watch the calls of a superseded connection that may be dead, although nothing is due on it."""
+        if not old.calls_watched and now - old.liveness.last_activity_at > LONGEST_SILENCE_S:
+            old.calls_watched = True
+            self.release_recovery.watch(old.server, old.established_calls)
+
     def _close_dead(self, old: ServerConnection, since: float) -> None:
         """End a superseded connection that received nothing around `since`, which confirms the suspicion.
 
@@ -258,7 +272,7 @@
             instance = old.server.record.instance
             self.call_manager.counters.add("server_connections_dead")
             self.call_manager.log("server_connection_dead", server=instance, open=len(old.pending_setups))
-            self.release_recovery.connection_ended(old.server, old.established_calls)
+            self.release_recovery.watch(old.server, old.established_calls)
             old.abort_as_dead()
             active = self.active.get(old.server.id)
             if active is not None:
