Replace a server connection that falls silent in the middle of a line at once

Cause: the beginning of a message counted for nothing. While no set-up waits for a response, only missing load reports show silence, after 1.5 s or three gaps.

Change: a connection on which a line is incomplete and nothing has come for 0.35 s is unresponsive. As before, that dials another and ends none.

--- a/stairhatch/node/connection_liveness.py
+++ b/stairhatch/node/connection_liveness.py
@@ -28,6 +28,7 @@
     connected_at: float = math.inf  # inf: not connected
     connection_id: int = NO_CONNECTION  # a new one each time the connection comes up
     last_received_at: float = -math.inf
+    line_incomplete_since: float = math.inf  # when bytes last came if they end in mid-line; inf: they do not
     response_due_since: float = -math.inf  # first set-up written after the last activity, pending or not
     load_reports: int = 0  # number of unsolicited load reports on this connection
     backoff_s: float = FIRST_BACKOFF_S
@@ -48,6 +49,7 @@
         self.connected_at = now
         self.connection_id = next(CONNECTION_IDS)
         self.last_received_at, self.load_reports = -math.inf, 0
+        self.line_incomplete_since = math.inf
 
     def connection_lost(self) -> None:
         """Mark the connection as down."""
@@ -59,6 +61,14 @@
         if is_load_report:
             self.load_reports += 1
 
+    def bytes_received(self, now: float, ends_in_line: bool) -> None:
+        """Note bytes received at `now`; `ends_in_line` says that a line was begun and is not complete."""
+        self.line_incomplete_since = now if ends_in_line else math.inf
+
+    def is_rest_of_line_overdue(self, now: float) -> bool:
+        """Return whether nothing has come for `RESPONSE_TIMEOUT_S` after the beginning of a line."""
+        return now - self.line_incomplete_since > RESPONSE_TIMEOUT_S
+
     def is_response_overdue(self, now: float) -> bool:
         """Return whether a set-up, cancelled or not, has had no message after it for `RESPONSE_TIMEOUT_S`."""
         due_since = self.response_due_since
--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -136,11 +136,14 @@
         return not (self.has_queued or self.writing) or not self.liveness.is_connected
 
     def is_unresponsive(self, now: float) -> bool:
-        """Return whether a response to a set-up, or a load report while calls are established, is overdue."""
+        """Return whether a message is overdue.
+
+        That is a response to a set-up, the rest of a line, or a load report while calls are established.
+        """
         liveness = self.liveness
         if not liveness.is_connected:
             return False
-        if liveness.is_response_overdue(now):
+        if liveness.is_response_overdue(now) or liveness.is_rest_of_line_overdue(now):
             return True
         for attempt in self.pending_setups.values():  # the first attempt is the one written first
             return liveness.is_silent_since(now, attempt.written_at)
@@ -326,6 +329,7 @@
                     break
                 self._message_received(message)
         del buffer[:start]
+        self.liveness.bytes_received(self.pool.call_manager.clock(), ends_in_line=bool(buffer))
         if len(buffer) > MAX_LINE_BYTES:
             self._close_malformed("the line exceeds 16 KiB and has no end")
 
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -272,6 +272,17 @@
         pass_time(call_manager, now, 0.3)
 
 
+def test_a_connection_that_falls_silent_in_mid_line_is_replaced_at_once():
+    """Guards against releases that wait until load reports are missed (issue 52)."""
+    now = [1000.0]
+    call_manager, pool, connection, _ = connected_server(now)
+    ident = offer_written_call(call_manager, pool, now)
+    connection.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+    connection.receive_data(b'{"opts":{},"rc":16,')
+    pass_time(call_manager, now, 0.5)
+    assert 1 in pool.standby
+
+
 def test_another_connection_is_opened_if_a_superseded_one_breaks_with_calls_established():
     """The server repeats a release that was in flight only on the next connection, so one must be opened."""
     now = [1000.0]
