Tell which server connection came up or ended, and what was left of a line

Cause: the trace could not tell on which connection a lost release was due, nor whether a line was cut.

Change: server_connected and server_connection_lost have the connection's number, the latter also the bytes of an incomplete line.

--- a/stairhatch/node/server_connection.py
+++ b/stairhatch/node/server_connection.py
@@ -242,7 +242,9 @@
         if self.pool.is_standby(self):
             self.pool.promote(self)
         call_manager.counters.add("server_connections")
-        call_manager.log("server_connected", server=self.server.record.instance)
+        call_manager.log(
+            "server_connected", server=self.server.record.instance, connection=self.liveness.connection_id
+        )
 
     def connect_failed(self, refused: bool) -> None:
         """Handle a failed dial: fail the queued set-ups, unless another connection is active.
@@ -296,6 +298,8 @@
             open=len(reset_attempts),
             established=len(self.established_calls),
             superseded=self.pool.is_superseded(self),
+            connection=self.liveness.connection_id,
+            partial_bytes=len(self._receive_buffer),
         )
         for attempt in reset_attempts:
             call_manager.attempts.connection_lost(attempt, known_to_server=not self.is_dead)
