Give the tests of server connections one place for a server's lines and for set-ups

Cause: the lines that establish and release a call stood in four test files, and the set-up of a superseded connection twice.

No assertion is changed.

--- a/tests/support/server_on_clock.py
+++ b/tests/support/server_on_clock.py
@@ -11,6 +11,7 @@
 from .accepted_connections import take_statuses
 from .call_ids import next_call_id
 from .in_process_node import InProcessNode
+from .server_lines import started_line
 from .sip_messages import platform_invite
 
 LOAD_LINE = b'{"verb":"LOAD","tag":"","opts":{"load":"free:50;size:90"}}\n'
@@ -61,6 +62,6 @@
         self.node.run(0.05)
         connection = self.pool.active[1]
         assert ident.encode() in connection.data_to_send()
-        connection.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+        connection.receive_data(started_line(ident))
         assert take_statuses(self.caller, ident) == [200]
         return ident
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -18,6 +18,7 @@
 from .support.deployment import Deployments, establish_call
 from .support.failing_server import FailingServer
 from .support.in_process_node import InProcessNode
+from .support.server_lines import finish_line, started_line
 from .support.server_on_clock import LOAD_LINE, ServerOnClock
 from .support.sip_messages import platform_invite
 from .support.waiting import wait_until
@@ -187,7 +188,7 @@
     successor = server.pool.active[1]
     later = server.establish_call()
     call_id = earlier if released == "of before the cut" else later
-    line = b'{"verb":"FINISH","tag":"%s","opts":{},"rc":%d}\n' % (call_id.encode(), cause)
+    line = finish_line(call_id, cause)
     successor.receive_data(line)
     for _ in range(50):
         server.run(0.4)
@@ -246,7 +247,7 @@
     assert ident.encode() in server.connection.data_to_send()
     gone = ServerRecord("s", ("127.0.0.1", 9), 0, Availability.GONE)
     server.node.call_manager.update_servers([gone], False)
-    server.connection.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+    server.connection.receive_data(started_line(ident))
     assert not server.has_call(ident)
     assert b'"FINISH","tag":"%s"' % ident.encode() in server.connection.data_to_send()
     server.run(4.0)
@@ -277,7 +278,7 @@
     successor = ServerRecord("t", ("127.0.0.1", 9), 0, Availability.READY)
     server.node.call_manager.update_servers([successor], False)
     server.connect(server.dialled[1])
-    server.dialled[1].receive_data(b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % ident.encode())
+    server.dialled[1].receive_data(finish_line(ident))
     assert take_statuses(server.caller, ident) == ["BYE"]
 
 
@@ -288,7 +289,7 @@
     other = ServerRecord("t", ("127.0.0.1", 10), 0, Availability.READY)
     server.node.call_manager.update_servers([other], False)
     server.connect(server.dialled[1])
-    server.dialled[1].receive_data(b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % ident.encode())
+    server.dialled[1].receive_data(finish_line(ident))
     assert server.has_call(ident)
 
 
--- a/tests/test_release_recovery.py
+++ b/tests/test_release_recovery.py
@@ -8,6 +8,7 @@
 from stairhatch.node.server_connection import ServerConnection
 
 from .support.accepted_connections import take_statuses
+from .support.server_lines import finish_line
 from .support.server_on_clock import LOAD_LINE, ServerOnClock
 
 REPORT_INTERVAL_S = 0.5
@@ -74,7 +75,7 @@
 
     def end(self) -> None:
         """End the call: the server's release is lost on the dead connection."""
-        self.ended_release = b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % self.ident.encode()
+        self.ended_release = finish_line(self.ident)
 
 
 @pytest.mark.parametrize("begin", [CallOnDeadConnection.found_dead, CallOnDeadConnection.closed_as_oldest])
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -25,6 +25,7 @@
 from .support.in_process_node import InProcessNode
 from .support.platform_config import SETTINGS
 from .support.scripted_server import ScriptedServer
+from .support.server_lines import finish_line, started_line
 from .support.sip_messages import platform_invite
 from .support.waiting import wait_until
 
@@ -184,6 +185,29 @@
     raise AssertionError("no set-up was written")
 
 
+def open_successor(pool, connection):
+    """Let a standby of an active connection come up, and return it."""
+    pool.dial_standby(connection)
+    successor = pool.standby[1]
+    successor.connection_made()
+    return successor
+
+
+def server_with_superseded(now):
+    """Return a call manager, the pool, a superseded connection with an established call, the id of the call,
+    the successor, and the list of the times at which the superseded one is aborted.
+    """
+    call_manager, pool, old, aborted = connected_server(now)
+    ident = offer_written_call(call_manager, pool, now)
+    old.receive_data(started_line(ident))
+    return call_manager, pool, old, ident, open_successor(pool, old), aborted
+
+
+def establish_on(connection, call_manager, pool, now):
+    """Offer a call, and let the server establish it on the active connection."""
+    connection.receive_data(started_line(offer_written_call(call_manager, pool, now)))
+
+
 def pass_time(call_manager, now, seconds):
     """Advance the clock in steps of 10 ms, and run the due timers after each step."""
     end = now[0] + seconds
@@ -199,9 +223,7 @@
     call_manager, pool, dead, _ = connected_server(now)
     pause_s = call_manager.settings.safety.retry_pause_s
     ident = offer_written_call(call_manager, pool, now)
-    pool.dial_standby(dead)
-    successor = pool.standby[1]
-    successor.connection_made()
+    successor = open_successor(pool, dead)
     dead.abort_as_dead()
     dead.connection_lost()
     pass_time(call_manager, now, pauses * pause_s)  # nothing is written, as if the process was stopped
@@ -223,12 +245,12 @@
     assert pool.superseded == [old]
     assert not old.can_close()
     pass_time(call_manager, now, 9.0)
-    old.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+    old.receive_data(started_line(ident))
     pass_time(call_manager, now, 20.0)
     assert call_manager.calls.is_established(ident)
     assert not old.can_close()
     if ends == "by the server":
-        old.receive_data(b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % ident.encode())
+        old.receive_data(finish_line(ident))
     else:
         call_manager.release(call_manager.calls.by_ident[ident], 16)
     assert not call_manager.calls.is_established(ident)
@@ -238,37 +260,25 @@
 def test_a_superseded_connection_on_which_nothing_is_due_is_not_taken_for_dead():
     """Guards against releases that are lost as their connection, quiet for a moment, is ended (issue 52)."""
     now = [1000.0]
-    call_manager, pool, old, aborted = connected_server(now)
-    first = offer_written_call(call_manager, pool, now)
-    old.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % first.encode())
-    pool.dial_standby(old)
-    successor = pool.standby[1]
-    successor.connection_made()
+    call_manager, pool, old, first, successor, aborted = server_with_superseded(now)
     for _ in range(4):
         pass_time(call_manager, now, 0.3)
-        ident = offer_written_call(call_manager, pool, now)
-        successor.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+        establish_on(successor, call_manager, pool, now)
     pass_time(call_manager, now, 0.3)
     assert not aborted
     assert pool.superseded == [old]
-    old.receive_data(b'{"verb":"FINISH","tag":"%s","opts":{},"rc":16}\n' % first.encode())
+    old.receive_data(finish_line(first))
     assert not call_manager.calls.is_established(first)
 
 
 def test_calls_of_a_quiet_superseded_connection_are_watched():
     """Guards against releases that are sent for ever on a dead connection on which nothing is due."""
     now = [1000.0]
-    call_manager, pool, old, _ = connected_server(now)
-    first = offer_written_call(call_manager, pool, now)
-    old.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % first.encode())
-    pool.dial_standby(old)
-    successor = pool.standby[1]
-    successor.connection_made()
+    call_manager, pool, _, _, successor, _ = server_with_superseded(now)
     since = now[0]
     while not pool.standby:
         assert now[0] < since + 7.0, "no connection is opened for the release"
-        ident = offer_written_call(call_manager, pool, now)
-        successor.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+        establish_on(successor, call_manager, pool, now)
         pass_time(call_manager, now, 0.3)
 
 
@@ -276,8 +286,7 @@
     """Guards against releases that wait until load reports are missed (issue 52)."""
     now = [1000.0]
     call_manager, pool, connection, _ = connected_server(now)
-    ident = offer_written_call(call_manager, pool, now)
-    connection.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+    establish_on(connection, call_manager, pool, now)
     connection.receive_data(b'{"opts":{},"rc":16,')
     pass_time(call_manager, now, 0.5)
     assert 1 in pool.standby
@@ -290,7 +299,7 @@
     ident = offer_written_call(call_manager, pool, now, within="13000")
     pass_time(call_manager, now, 0.6)
     pool.standby[1].connection_made()
-    old.receive_data(b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode())
+    old.receive_data(started_line(ident))
     assert call_manager.calls.is_established(ident)
     assert pool.superseded == [old]
     assert not pool.standby
@@ -310,9 +319,7 @@
         server_connection = pool.active[1]
         server_connection.receive_data(b'{"verb":"LOAD","tag":"","opts":{"load":"free:50;size:90"}}\n')
         ident = offer_written_call(call_manager, pool, now)
-        server_connection.receive_data(
-            b'{"verb":"STARTED","tag":"%s","opts":{},"blob":"d"}\n' % ident.encode()
-        )
+        server_connection.receive_data(started_line(ident))
         pool.dial_standby(server_connection)
         for each in [
             each for each in pool.superseded if each.can_close()
