Move one round of a lease request into a module of its own

Change: RequestRound is in fleet/request_round.py and names the voters that have not answered. Behaviour is unchanged.

--- a/stairhatch/fleet/lease.py
+++ b/stairhatch/fleet/lease.py
@@ -17,9 +17,9 @@
 
 import math
 import random
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from stairhatch.fleet.effects import (
@@ -38,6 +38,7 @@
     RejectionReason,
     StorageVersion,
 )
+from stairhatch.fleet.request_round import RequestRound
 from stairhatch.fleet.voter_set import digest_of
 
 MAX_OPEN_ROUNDS = 4  # answers to older rounds are ignored
@@ -85,29 +86,6 @@
     HELD = "held"
 
 
-@dataclass(slots=True)
-class RequestRound:
-    """One request to all voters, and their answers so far."""
-
-    started_at: float
-    fencing_token: int
-    granted_by: set[str] = field(default_factory=set)
-    remaining_s: dict[str, float] = field(default_factory=dict)  # by rejecting voter: until it may grant
-    low_token_count: int = 0  # rejections because of a higher token that no current holder has
-    holders: Counter[str] = field(default_factory=Counter)  # rejections by the holder that they name
-
-    def is_answered_by(self, voter: str) -> bool:
-        """Return whether the voter has granted or rejected the request."""
-        return voter in self.granted_by or voter in self.remaining_s
-
-    def majority_holder(self, majority: int) -> str | None:
-        """Return the holder that at least `majority` rejections name; None if there is none."""
-        if not self.holders:
-            return None
-        holder, count = self.holders.most_common(1)[0]
-        return holder if count >= majority else None
-
-
 class LeaseClient:
     """One member's client of one lease; it requests, renews and releases the lease."""
 
@@ -245,8 +223,7 @@
             return self._end_failed_round(now)
         self._schedule_repeat(now)
         latest_round = self._latest_round()
-        unanswered = [name for name in self.voters if not latest_round.is_answered_by(name)]
-        return self._request_messages(latest_round.fencing_token, unanswered)
+        return self._request_messages(latest_round.fencing_token, latest_round.unanswered(self.voters))
 
     def _schedule_repeat(self, now: float) -> None:
         """Let the next tick repeat the request, or end the round if that is due first.
@@ -296,7 +273,7 @@
         """
         failed_round = self._latest_round()
         self._rounds.clear()
-        unanswered = len(self.voters) - len(failed_round.granted_by) - len(failed_round.remaining_s)
+        unanswered = len(failed_round.unanswered(self.voters))
         if unanswered and len(failed_round.granted_by) + unanswered >= self.majority:
             self._lengthen_rounds()
         self.held_by_other = failed_round.holders.total() >= self.majority
