Do not prolong the retry pause for a release that cannot be sent

Cause: grants the retry pause once more while a release waits to be written. A release that was never queued, as its server has no connection or a full queue, counted as waiting for good, and its call paused twice.

Change: the pool tells whether a release waits to be written.

The tests of calls and server connections pass.

--- a/stairhatch/conformance/in_process.py
+++ b/stairhatch/conformance/in_process.py
@@ -88,9 +88,10 @@
         for reply in script_for(request.called_uri):
             self._timeline.schedule(reply.delay_s, self._reply(attempt.server, request.ident, reply))
 
-    def send_release(self, _server: RosterServer, ident: str, _cause: int) -> None:
+    def send_release(self, _server: RosterServer, ident: str, _cause: int) -> bool:
         """Release a call or an unanswered set-up: the emulated server sends no further reply for it."""
         self._released.add(ident)
+        return False
 
     def shut_down(self) -> None:
         """Do nothing: the pool has no connection to close."""
--- a/stairhatch/node/attempts.py
+++ b/stairhatch/node/attempts.py
@@ -169,7 +169,8 @@
         """Release a written attempt at its server, which may answer it all the same."""
         ident = attempt.call.request.ident
         attempt.call.is_release_queued = True
-        self.servers.pool.send_release(attempt.server, ident, ReleaseCause.NORMAL_CLEARING)
+        if not self.servers.pool.send_release(attempt.server, ident, ReleaseCause.NORMAL_CLEARING):
+            attempt.call.is_release_queued = False
         attempt.call.unanswered_setups.append(UnansweredSetup(attempt.server, attempt.connection_id))
 
     def release_written(self, call_id: str) -> None:
--- a/stairhatch/node/context.py
+++ b/stairhatch/node/context.py
@@ -28,8 +28,11 @@
     def send_setup(self, attempt: Attempt) -> None:
         """Write a set-up once connected, if `AttemptManager.claim_transmission` permits it then."""
 
-    def send_release(self, server: RosterServer, ident: str, cause: int) -> None:
-        """Send a release by a Q.850 cause: the server ends the call, or cancels its set-up."""
+    def send_release(self, server: RosterServer, ident: str, cause: int) -> bool:
+        """Send a release by a Q.850 cause: the server ends the call, or cancels its set-up.
+
+        Returns whether the release waits to be written; False if it is written at once, or cannot be sent.
+        """
 
     def shut_down(self) -> None:
         """Shut the pool down; from now on servers send to the process that takes over."""
--- a/stairhatch/node/failure_monitor.py
+++ b/stairhatch/node/failure_monitor.py
@@ -39,8 +39,8 @@
     def dial_standby(self, connection: ServerConnection) -> None:
         """Dial a standby to the server of an active connection."""
 
-    def send_release(self, server: RosterServer, ident: str, cause: int) -> None:
-        """Release a call at a server, with a Q.850 cause."""
+    def send_release(self, server: RosterServer, ident: str, cause: int) -> bool:
+        """Release a call at a server, with a Q.850 cause; return whether it waits to be written."""
 
 
 class FailureMonitor:
--- a/stairhatch/node/server_pool.py
+++ b/stairhatch/node/server_pool.py
@@ -101,14 +101,15 @@
         if connection is None or not connection.send_setup(attempt):
             self.call_manager.attempts.transmission_failed(attempt, reached=True)
 
-    def send_release(self, server: RosterServer, ident: str, cause: int) -> None:
-        """Cancel a set-up or release an established call, with a Q.850 cause."""
+    def send_release(self, server: RosterServer, ident: str, cause: int) -> bool:
+        """Cancel a set-up or release an established call; return whether that waits to be written."""
         connection = self._connection_for_release(server, ident)
         if connection is None or not connection.send_queue.has_room_for_release:
-            return
+            return False
         for each in self.connections_to(server):
             each.forget_call(ident)
         connection.send_release(ident, cause)
+        return True
 
     def _connection_for_release(self, server: RosterServer, ident: str) -> ServerConnection | None:
         """Return the active connection, or if it is down another that is up, the set-up's own first.
--- a/tests/support/in_process_node.py
+++ b/tests/support/in_process_node.py
@@ -80,9 +80,10 @@
         """Return True, as no output is ever queued (server pool's interface)."""
         return True
 
-    def send_release(self, _server: object, ident: str, cause: int) -> None:
+    def send_release(self, _server: object, ident: str, cause: int) -> bool:
         """Record the release of a call or of an abandoned set-up (server pool's interface)."""
         self.releases.append((ident, cause))
+        return False
 
     def establish(self) -> None:
         """Establish the call whose set-up was written last, as the server's reply does."""
