Wait for the log line in the test of a first call's scope

Cause: the test read the log as soon as the call was answered. A thread of its own writes the log (EventLog), so the line may come after the answer.

Evidence: with the thread 50 ms late (a trial) the test fails as it was, and passes now.

Change: the test waits for three lines and demands the same list. It is as strict: a line too few, too many or out of order fails it.

--- a/tests/test_scope_on_appliance.py
+++ b/tests/test_scope_on_appliance.py
@@ -54,6 +54,11 @@
     return scopes, server_connections
 
 
+def classes_in_scope(program):
+    """Return the classes that have come into scope, in order."""
+    return [each["classes"] for each in program.log_events("scope") if each["state"] == "in"]
+
+
 def closed_connections(program):
     """Return the servers whose connections were lost or closed, in order."""
     return [each["server"] for each in program.log_events("server_connection_lost")]
@@ -125,8 +130,8 @@
     wait_until(lambda: caller.final_statuses("c2"), "a final answer")
     invite(caller, "c3", "s1")
     caller.expect("c3", 200)
-    in_scope = [each["classes"] for each in program.log_events("scope") if each["state"] == "in"]
-    assert in_scope == ["s1", "s3", "s1"]
+    wait_until(lambda: len(classes_in_scope(program)) >= 3, "the log line of the last class")
+    assert classes_in_scope(program) == ["s1", "s3", "s1"]
     assert caller.final_statuses("c2")[0] >= 400
     assert not any(each.connections for each in others)
     wait_until(lambda: all(len(each.connections) >= 2 for each in used), "new connections")
